Keep half the servers up also when resets take their last step

Resets and connection failures took a server's last step however many servers were aside already; only failed answers were checked against that.

Ruled out: single bad hosts (strace: 6 to 16% at each of the nine), connection limits (no refusal as full), overload (the same load is served before).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -614,7 +614,8 @@
             (server.answers_since, server.changed) = (0, now);
         }
         let was_up = server.budget.steps > 0;
-        server.budget.steps -= u32::from(lost && was_up);
+        let spare = (self.aside + 1) * 2 <= self.listed;
+        server.budget.steps -= u32::from(lost && (server.budget.steps > 1 || was_up && spare));
         server.budget.trial_out &= trial != Trial::Server;
         if trial == Trial::Server {
             if outcome != Outcome::Served {
@@ -628,7 +629,7 @@
             }
         }
         // Fast errors and refusals make a server look idle: its budget alone would draw calls in.
-        if was_up && server.failing > FAIL_LIMIT && (self.aside + 1) * 2 <= self.listed {
+        if was_up && server.failing > FAIL_LIMIT && spare {
             server.budget.steps = 0;
         }
         if was_up && server.budget.steps == 0 {
