--- a/src/balance.rs
+++ b/src/balance.rs
@@ -5,7 +5,7 @@
 //! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
-use crate::state::{Attempt, Call, Pace, Route, Trial};
+use crate::state::{Attempt, Call, Pace, Route, Trial, Way};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -25,6 +25,8 @@
 const STRAIN_TIMES: f64 = 3.0;
 /// ... or beyond this share of its aim, whichever is shorter.
 const STRAIN_AIM: f64 = 0.33;
+/// ... but not within this many times the least answer time of its zone: no budget shortens the way there.
+const STRAIN_WAY: f64 = 1.5;
 /// Reported share of busy cores that is as much as an answer at that limit: above it waiting grows steeply.
 const BUSY_FULL: f64 = 0.9;
 /// Strain beyond which a budget is cut below its floor: answers take more than half their aim.
@@ -33,7 +35,8 @@
 const DEEP_FLOOR: f64 = 0.2;
 /// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
 const SMOOTHING: f64 = 0.1;
-/// Time over which a class's unloaded answer time may drift up to its present mean.
+/// Time over which a class's unloaded answer time may drift up to its present mean, and a zone's way to that
+/// of its answers.
 const BASE_DRIFT: f64 = 120e6;
 /// Weight of a new outcome in a server's share of failures, and the share that sets it aside: two in four.
 const FAIL_WEIGHT: f64 = 0.2;
@@ -187,8 +190,10 @@
     /// Time that this balancer's calls lately spent there: it breaks the pick's ties.
     busy: f64,
     busy_at: u64,
-    /// Answer times over what its classes allow; 1 is the limit.
+    /// Answer times over what its classes and the way there allow; 1 is the limit.
     strain: f64,
+    /// The same without regard to the way there: it breaks the pick's ties.
+    slowness: f64,
     answers_since: u32,
     /// Its last report, as strain.
     crowding: f64,
@@ -284,12 +289,25 @@
     }
 }
 
+/// Share of a drift upwards that the time since `at` allows.
+fn drift(now: Micros, at: Micros) -> f64 {
+    (now.saturating_sub(at) as f64 / BASE_DRIFT).min(1.0)
+}
+
+impl Way {
+    fn answered(&mut self, now: Micros, elapsed: f64) {
+        let least = self.least.unwrap_or(elapsed);
+        self.least = Some(elapsed.min(least + (elapsed - least) * drift(now, self.at)));
+        self.at = now;
+    }
+}
+
 impl Pace {
     fn answered(&mut self, now: Micros, elapsed: f64) {
         self.seen = self.seen.saturating_add(1);
         let sample = if self.seen > 8 { elapsed.min(8.0 * self.base) } else { elapsed };
         self.mean += (sample - self.mean) * (1.0 / f64::from(self.seen)).max(SMOOTHING / 2.0);
-        let drift = (now.saturating_sub(self.at) as f64 / BASE_DRIFT).min(1.0);
+        let drift = drift(now, self.at);
         self.at = now;
         let drifted = if self.seen <= 8 { self.mean } else { self.base + (self.mean - self.base) * drift };
         self.base = self.mean.min(drifted).max(1.0);
@@ -305,6 +323,7 @@
     pool: Option<Pool>,
     /// By zone: connections that failed in a row, and until when it is passed over.
     cut_off: BTreeMap<ZoneId, (u32, Micros)>,
+    ways: BTreeMap<ZoneId, Way>,
     calls: BTreeMap<CallId, Call>,
     hold: VecDeque<CallId>,
     wakes: BTreeSet<(Micros, CallId)>,
@@ -332,6 +351,7 @@
             settings,
             servers: Vec::new(),
             cut_off: BTreeMap::new(),
+            ways: BTreeMap::new(),
             calls: BTreeMap::new(),
             hold: VecDeque::new(),
             wakes: BTreeSet::new(),
@@ -544,6 +564,12 @@
         // A shared budget cannot spare the one server that is slow: it heeds what the aim leaves for waiting.
         let pool_limit = (base * STRAIN_TIMES).min(base + (aim - base) * STRAIN_AIM).max(base);
         let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
+        let way = self.ways.entry(zone).or_default();
+        if outcome == Outcome::Served {
+            way.answered(now, elapsed as f64);
+        }
+        let far_limit =
+            limit.max((way.least.unwrap_or(0.0) * STRAIN_WAY).min(aim * STRAIN_AIM * STRAIN_DEEP));
         if let Some(pool) = &mut self.pool {
             pool.charge(now, elapsed as f64 - usual);
             pool.budget.trial_out &= trial != Trial::Pool;
@@ -575,7 +601,8 @@
         // What was not served counts as a whole aim: quick refusals and errors must not make it look idle.
         let least = if outcome == Outcome::Served { 0.0 } else { longest_aim };
         server.kept_busy(least.max(elapsed as f64), self.sends, per);
-        let strain = (elapsed as f64 / limit).min(4.0);
+        let over = |limit: f64| (elapsed as f64 / limit).min(4.0);
+        let (strain, slowness) = (over(far_limit), over(limit));
         let failed = match outcome {
             Outcome::Served => false,
             // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
@@ -595,6 +622,7 @@
         server.heard = now;
         if !failed {
             server.strain += (strain.max(server.crowding) - server.strain) * weight;
+            server.slowness += (slowness - server.slowness) * weight;
             server.answers_since += 1;
         }
         // Answers alone would make the mean that of the lucky: late ones count for what was waited.
@@ -635,7 +663,7 @@
         if was_up && server.budget.steps == 0 {
             server.budget.back_off(now, first);
             // What it showed before says nothing of how it will be when it comes back.
-            server.strain = 1.0;
+            (server.strain, server.slowness) = (1.0, 1.0);
             actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
         }
         // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
@@ -763,7 +791,7 @@
         let a = *among.get(first as usize)?;
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (sends, per) = (self.sends as f64, self.window() as f64);
-        let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.strain };
+        let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.slowness };
         let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
         Some(if load(b) < load(a) { b } else { a })
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,13 @@
     }
 }
 
+/// The way to a zone and back: the least time that an answer from there has lately taken.
+#[derive(Debug, Default)]
+pub(crate) struct Way {
+    pub(crate) least: Option<f64>,
+    pub(crate) at: Micros,
+}
+
 /// Answer times of a class: the present mean and the least it has been, which stands for an unloaded server.
 #[derive(Debug, Default)]
 pub(crate) struct Pace {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -373,6 +373,31 @@
     assert!((0..5).all(|_| sent(&proxy.call().1).is_empty()), "a second call at once would be a trial");
 }
 
+#[test]
+fn the_way_to_a_far_server_is_no_strain() {
+    let class = Class { aim: 150 * MS, deadline: 500 * MS, ..settings(Repeat::SingleShot).classes[0] };
+    let mut proxy =
+        Proxy::new(Settings { balancers: 2, classes: vec![class], ..settings(Repeat::SingleShot) }, 0);
+    let zoned = |i| Entry { zone: ZoneId(i), ..ready(i) };
+    proxy.list(ListKind::Full, vec![zoned(1)]);
+    // The near server sets what an unloaded answer takes.
+    assert!((0..100).all(|_| proxy.serve(2 * MS) == Some(ServerId(1))));
+    proxy.list(ListKind::Full, vec![zoned(1), zoned(2)]);
+    for _ in 0..60 {
+        // Two at once, so that one goes far: ties go to the near server.
+        let mut out: Vec<_> = (0..2).flat_map(|_| sent(&proxy.call().1)).collect();
+        assert_eq!(out.len(), 2, "both have room");
+        out.sort_by_key(|s| s.1);
+        for (took, waited, (call, _)) in [(2 * MS, 2 * MS, out[0]), (60 * MS, 58 * MS, out[1])] {
+            proxy.now += waited;
+            proxy.end(call, 0, Outcome::Served, took);
+        }
+    }
+    let burst: Vec<_> = (0..8).flat_map(|_| sent(&proxy.call().1)).collect();
+    let far = burst.iter().filter(|s| s.1 == ServerId(2)).count();
+    assert!(far >= 3, "an idle far server keeps its first budget: {burst:?}");
+}
+
 #[test]
 fn time_outs_of_a_server_that_answers_others_do_not_set_it_aside() {
     let mut proxy = Proxy::new(Settings { balancers: 1, ..settings(Repeat::SingleShot) }, 3);
