Start no backoff for a reset, and take a server back after one served trial

The module backed off whenever a reset took the last step, and a served trial at k = 0 counted only once the share of failures was under 0.15. A trial counts now up to the share that sets a server aside; failed connections and failing servers still back off.

The tie-break is no longer set back with the strain: a server taken back lost every tie to one that had not been aside.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -644,11 +644,13 @@
         let was_up = server.budget.steps > 0;
         let spare = (self.aside + 1) * 2 <= self.listed;
         server.budget.steps -= u32::from(lost && (server.budget.steps > 1 || was_up && spare));
+        // A connection that broke is made anew at once, as in A105: only a failure to make one backs off.
+        let broke = outcome == Outcome::Reset && trial != Trial::Server && server.failing <= FAIL_LIMIT;
         server.budget.trial_out &= trial != Trial::Server;
         if trial == Trial::Server {
             if outcome != Outcome::Served {
                 server.budget.back_off(now, first);
-            } else if was_up || server.failing < FAIL_LIMIT / 2.0 {
+            } else if was_up || server.failing <= FAIL_LIMIT {
                 server.budget.trial_served();
                 (server.answers_since, server.changed) = (0, now);
                 if !was_up {
@@ -661,9 +663,11 @@
             server.budget.steps = 0;
         }
         if was_up && server.budget.steps == 0 {
-            server.budget.back_off(now, first);
+            if !broke {
+                server.budget.back_off(now, first);
+            }
             // What it showed before says nothing of how it will be when it comes back.
-            (server.strain, server.slowness) = (1.0, 1.0);
+            server.strain = 1.0;
             actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
         }
         // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
