Reload on SIGHUP and watch discovery at the address the file then names

There was no handler, so SIGHUP ended the program. It now reads the file again and opens the watch there at once, from the version in hand; a broken file is logged and the old address kept.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -180,6 +180,8 @@
     next_server: u32,
     seq: Option<u64>,
     listed: bool,
+    /// Where the list is watched.
+    discovery: SocketAddr,
     watch: Option<upstream::Task>,
     /// One reference for each open connection to a host, and this one.
     slots: Rc<()>,
@@ -226,6 +228,7 @@
             // Set before the start: the module subscribes at once, from the version of the list it gets next.
             seq: config.known.as_ref().map(|known| known.seq),
             listed: false,
+            discovery: config.discovery,
             watch: None,
             slots: Rc::default(),
             counts: Counts::default(),
@@ -262,6 +265,14 @@
         self.0.borrow().config.clone()
     }
 
+    /// Watches the list at this address from now on, from the version in hand.
+    pub fn watch_at(&self, discovery: SocketAddr) {
+        let mut driver = self.0.borrow_mut();
+        crate::log(&format!("discovery is at {discovery}"));
+        driver.discovery = discovery;
+        driver.subscribe(self);
+    }
+
     /// Writes the figures so far to the log.
     pub fn log_counts(&self) {
         let driver = self.0.borrow();
@@ -500,7 +511,7 @@
     }
 
     fn subscribe(&mut self, handle: &Handle) {
-        let (handle, discovery, since) = (handle.clone(), self.config.discovery, self.seq);
+        let (handle, discovery, since) = (handle.clone(), self.discovery, self.seq);
         let pushed = !self.config.settings.ask;
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(upstream::spawn(async move {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -12,17 +12,31 @@
 use config::Config;
 use std::future::Future;
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 /// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
-fn log(line: &str) {
+pub fn log(line: &str) {
     let _ = writeln!(io::stderr(), "nettleworks: {line}");
 }
 
-/// Serves until `stop` is done and all that was taken is answered. Runs inside a [`tokio::task::LocalSet`].
-pub async fn run(config: Config, listener: TcpListener, stop: impl Future<Output = ()>) {
+/// Serves until `stop` is done and all that was taken is answered, with the list that is watched at the last
+/// address in `discovery`. Runs inside a [`tokio::task::LocalSet`].
+pub async fn run(
+    config: Config,
+    listener: TcpListener,
+    mut discovery: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
+) {
     let driver = driver::Handle::start(Rc::new(config));
+    let moving = driver.clone();
+    let _moving = upstream::spawn(async move {
+        while discovery.changed().await.is_ok() {
+            moving.watch_at(*discovery.borrow_and_update());
+        }
+    });
     server::serve(listener, driver.clone(), stop).await;
     driver.log_counts();
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,4 +1,5 @@
-//! The program: reads the configuration, serves, and stops on SIGTERM.
+//! The program: reads the configuration, serves, follows discovery to another address on SIGHUP, and stops on
+//! SIGTERM.
 #![forbid(unsafe_code)]
 
 use nettleworks::config::Config;
@@ -8,7 +9,8 @@
 use std::process::ExitCode;
 use tokio::runtime;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::LocalSet;
+use tokio::sync::watch;
+use tokio::task::{spawn_local, LocalSet};
 
 fn main() -> ExitCode {
     match start() {
@@ -26,11 +28,22 @@
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     LocalSet::new().block_on(&runtime, async {
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+        let (moved, discovery) = watch::channel(config.discovery);
+        spawn_local(async move {
+            while hangup.recv().await.is_some() {
+                // A file that cannot be used is no reason to stop serving with what is in hand.
+                match Config::load(Path::new(&path)) {
+                    Ok(config) => drop(moved.send_replace(config.discovery)),
+                    Err(reason) => nettleworks::log(&format!("not reloaded: {reason}")),
+                }
+            }
+        });
         let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let stop = async move {
             terminate.recv().await;
         };
-        nettleworks::run(config, listener, stop).await;
+        nettleworks::run(config, listener, discovery, stop).await;
         // What is left are tasks without a client: timers, the watch, idle connections.
         Ok(())
     })
