Close a connection that has brought no proper request after 2.5 s

The time for a head was 60 s and that for a body whatever budget the head claimed. The limit runs from the connection's start to the first whole request; clients that have sent one may idle as before. On /_health any method but GET gets 405.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use ochrepond::{ClassId, Repeat, TenantId};
@@ -33,8 +33,11 @@
 const IDLE_LEAST: Duration = Duration::from_secs(1);
 /// The part of a client's time that is kept for the answer's way back.
 const WAY_BACK: Duration = Duration::from_millis(10);
-/// Time for a request's head, from a connection's start or its last answer: one that says nothing is closed.
+/// Time for a further request's head, from the last answer: a client that says nothing more is closed.
 const HEAD_TIME: Duration = Duration::from_secs(60);
+/// Time from a connection's start for its first request, whole: a peer that sends something else, or nothing, is
+/// closed. The terms allow 3 s.
+const FIRST_TIME: Duration = Duration::from_millis(2_500);
 /// Pause after a failure to accept, which descriptors that are set free must end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -119,12 +122,13 @@
             log(&format!("nodelay: {error}"));
         }
         let idle = Rc::new(Cell::new(Some(Instant::now())));
-        let (driver, state) = (self.driver.clone(), idle.clone());
+        let proper = Rc::new(Cell::new(false));
+        let (driver, state, first) = (self.driver.clone(), idle.clone(), proper.clone());
         let service = service_fn(move |request| {
-            let (driver, state) = (driver.clone(), state.clone());
+            let (driver, state, first) = (driver.clone(), state.clone(), first.clone());
             async move {
                 state.set(None);
-                let answer = answer(driver, request).await;
+                let answer = answer(driver, request, &first).await;
                 state.set(Some(Instant::now()));
                 Ok::<_, Infallible>(answer)
             }
@@ -135,9 +139,13 @@
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream), service);
         let connection = self.graceful.watch(connection);
+        let first_due = Instant::now() + FIRST_TIME;
         let task = spawn_local(async move {
             // A connection that breaks ends its request's waiting, which tells the module.
-            let _ = connection.await;
+            let mut connection = pin!(connection);
+            if timeout_at(first_due, &mut connection).await.is_err() && proper.get() {
+                let _ = connection.await;
+            }
         });
         self.open.push(Client { task, idle });
     }
@@ -145,17 +153,24 @@
 
 type Answer = Response<Full<Bytes>>;
 
-async fn answer(driver: Handle, request: Request<Incoming>) -> Answer {
+/// Answers a request; `proper` is set once one has come whole.
+async fn answer(driver: Handle, request: Request<Incoming>, proper: &Cell<bool>) -> Answer {
     let arrived = Instant::now();
-    match request.uri().path() {
-        "/_health" if driver.is_ready() => plain(StatusCode::OK),
-        "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
-        "/api" => match take_in(&driver, request, arrived).await {
-            Ok((ask, forward)) => match driver.request(ask, forward).reply().await {
-                Reply::Served(answer) => served(answer),
-                Reply::Refused(after) => refused(after),
-                Reply::Failed => plain(StatusCode::BAD_GATEWAY),
-            },
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/_health") => {
+            proper.set(true);
+            plain(if driver.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+        }
+        (_, "/_health") => plain(StatusCode::METHOD_NOT_ALLOWED),
+        (_, "/api") => match take_in(&driver, request, arrived).await {
+            Ok((ask, forward)) => {
+                proper.set(true);
+                match driver.request(ask, forward).reply().await {
+                    Reply::Served(answer) => served(answer),
+                    Reply::Refused(after) => refused(after),
+                    Reply::Failed => plain(StatusCode::BAD_GATEWAY),
+                }
+            }
             Err(status) => plain(status),
         },
         _ => plain(StatusCode::NOT_FOUND),
--- a/proxy/tests/requests.rs
+++ b/proxy/tests/requests.rs
@@ -4,6 +4,8 @@
 
 use common::*;
 use std::slice::from_ref;
+use std::time::Duration;
+use tokio::time::timeout;
 
 #[test]
 fn a_request_goes_on_unchanged_and_so_does_its_answer() {
@@ -187,3 +189,28 @@
         assert_eq!(proxy.client().await.ask(&request("free", "", "")).await.status(), 200);
     });
 }
+
+/// A peer that sends no proper request is closed soon; a client that has sent one may take its time.
+#[test]
+fn a_peer_without_a_proper_request_is_closed() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut good = proxy.client().await;
+        assert_eq!(good.ask(&request("unsafe", "", "")).await.body, b"served");
+        let half = request("unsafe", "", "the body").replace("the body", "half");
+        let mut peers = Vec::new();
+        for text in ["", "POST /api HTTP/1.1\r\nX-Call", &half] {
+            let mut peer = proxy.client().await;
+            peer.send(text).await;
+            peers.push(peer);
+        }
+        for mut peer in peers {
+            // Well under the 8 s that the half request's client would wait.
+            let end = timeout(Duration::from_secs(6), peer.message()).await.expect("an error or a close");
+            assert!(end.is_none_or(|answer| answer.status() >= 400));
+        }
+        assert_eq!(host.count(), 1);
+        assert_eq!(good.ask(&request("unsafe", "", "")).await.body, b"served", "it was not closed");
+    });
+}
