Keep unsafe requests off idle connections of an age that is found to break

Kept connections may be dropped without a sign long before the settings' idle time. A `send` that meets this has failed for good. The proxy counts uses and breaks by idle time; where an age breaks clearly oftener, a request that must never run twice opens its own connection.

Ruled out: a FIN not yet read, and the settings' 5 s (idle times are far under).

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -9,8 +9,8 @@
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use ochrepond::{
-    Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
-    State, TenantId,
+    Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, Repeat,
+    ServerId, State, TenantId,
 };
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -27,6 +27,15 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// How many sweeps pass between two lines of figures in the log.
 const SWEEPS_A_LINE: u32 = 10;
+/// Idle times of kept connections are told apart by powers of two of a millisecond, from this one on: what is
+/// used again sooner breaks for other reasons.
+const AGES: usize = 16;
+const AGE_LEAST: usize = 6;
+/// Uses of an age that tell something, and how much oftener than soon ones they break where they are stale.
+const AGE_USES: f64 = 4.0;
+const STALE_SHARE: f64 = 0.1;
+/// What a sweep leaves of those counts: half is forgotten in ten seconds.
+const AGE_MEMORY: f64 = 0.93;
 /// Where the list is pushed the module never asks for it: a watch that ended is opened again after this.
 const PUSH_RETRY: Duration = Duration::from_secs(1);
 
@@ -106,6 +115,8 @@
 /// A call from its request until it is answered and none of its attempts is out.
 struct Call {
     forward: Rc<Forward>,
+    /// It must never run twice.
+    once: bool,
     deadline: Instant,
     /// `None`: it is over.
     reply: Option<oneshot::Sender<Reply>>,
@@ -150,6 +161,41 @@
     idle: Vec<(Instant, Connection)>,
 }
 
+/// What became of kept connections, by how long they had stood idle. Hosts keep one for the settings' time at
+/// the most; it may be dropped far sooner, and without a sign.
+#[derive(Debug, Default)]
+struct Reuse {
+    /// Uses, and those that broke.
+    ages: [(f64, f64); AGES],
+}
+
+impl Reuse {
+    fn age(idle: Duration) -> usize {
+        ((u128::BITS - idle.as_millis().leading_zeros()) as usize).min(AGES - 1)
+    }
+
+    fn note(&mut self, idle: Duration, broke: bool) {
+        let (uses, broken) = &mut self.ages[Reuse::age(idle)];
+        *uses += 1.0;
+        *broken += f64::from(u8::from(broke));
+    }
+
+    /// Whether connections that stood idle for so long, or for less, break clearly oftener than others.
+    fn is_stale(&self, idle: Duration) -> bool {
+        let (soon, later) = self.ages.split_at(AGE_LEAST);
+        let (uses, broken) = soon.iter().fold((0.0, 0.0), |sum, age| (sum.0 + age.0, sum.1 + age.1));
+        let limit = broken / f64::max(uses, 1.0) + STALE_SHARE;
+        let ages = later.iter().take((Reuse::age(idle) + 1).saturating_sub(AGE_LEAST));
+        ages.into_iter().any(|&(uses, broken)| uses >= AGE_USES && broken > limit * uses)
+    }
+
+    fn forget(&mut self) {
+        for (uses, broken) in &mut self.ages {
+            (*uses, *broken) = (*uses * AGE_MEMORY, *broken * AGE_MEMORY);
+        }
+    }
+}
+
 /// Figures for the log.
 #[derive(Debug, Default)]
 struct Counts {
@@ -185,6 +231,7 @@
     watch: Option<upstream::Task>,
     /// One reference for each open connection to a host, and this one.
     slots: Rc<()>,
+    reuse: Reuse,
     counts: Counts,
 }
 
@@ -231,6 +278,7 @@
             discovery: config.discovery,
             watch: None,
             slots: Rc::default(),
+            reuse: Reuse::default(),
             counts: Counts::default(),
             config: config.clone(),
         };
@@ -290,10 +338,12 @@
         let (sender, reply) = oneshot::channel();
         let Ask { class, tenant, deadline, resent } = ask;
         let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
-        driver.calls.insert(
-            call,
-            Call { forward: Rc::new(forward), deadline, reply: Some(sender), attempts: Vec::new() },
-        );
+        let spec = driver.config.settings.classes.get(class.0);
+        let once = spec.is_none_or(|class| class.repeat == Repeat::SingleShot);
+        let forward = Rc::new(forward);
+        driver
+            .calls
+            .insert(call, Call { forward, once, deadline, reply: Some(sender), attempts: Vec::new() });
         drop(driver);
         self.run([Event::Request { call, class, tenant, time_left, resent }]);
         Waiting { driver: self.clone(), call, reply }
@@ -348,16 +398,17 @@
     async fn attempt(
         &self,
         address: SocketAddr,
-        kept: Option<Connection>,
+        kept: Option<(Duration, Connection)>,
         forward: &Forward,
         until: Instant,
         meter: &Meter,
     ) -> End {
         let exchange = async {
-            if let Some(connection) = kept {
+            if let Some((idle, connection)) = kept {
                 let end = upstream::exchange(connection, forward.request(until), meter).await;
                 let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Reset);
                 self.count(|counts| counts.broken_reuse += u64::from(broken));
+                self.0.borrow_mut().reuse.note(idle, broken);
                 if let Some(end) = end {
                     return end;
                 }
@@ -469,7 +520,10 @@
         // A request must not cross its host's close: old ones and those closed meanwhile are passed over.
         let keep = self.config.conn_idle.mul_f64(IDLE_PART);
         host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
-        let kept = host.idle.pop().map(|(_, connection)| connection);
+        // A request that must not go again goes on no connection that may have been dropped without a sign.
+        let fit = |since: &Instant| !call.once || !self.reuse.is_stale(since.elapsed());
+        let kept = host.idle.pop_if(|(since, _)| fit(since));
+        let kept = kept.map(|(since, connection)| (since.elapsed(), connection));
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
             upstream::spawn(async move {
@@ -568,7 +622,29 @@
 
     /// Closes connections that have stood idle for nearly as long as hosts keep them.
     fn sweep(&mut self) {
+        self.reuse.forget();
         let keep = self.config.conn_idle.mul_f64(IDLE_PART);
         self.hosts.values_mut().for_each(|host| host.idle.retain(|(since, _)| since.elapsed() < keep));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn connections_are_stale_from_the_age_at_which_they_break_oftener() {
+        let (soon, short, long) =
+            (Duration::from_millis(2), Duration::from_millis(50), Duration::from_millis(400));
+        let mut reuse = Reuse::default();
+        for use_of in 0..40 {
+            reuse.note(soon, use_of % 10 == 0);
+            reuse.note(short, use_of % 10 == 0);
+            reuse.note(long, use_of % 2 == 0);
+        }
+        assert!(reuse.is_stale(long) && reuse.is_stale(2 * long), "half of those uses broke");
+        assert!(!reuse.is_stale(short) && !reuse.is_stale(soon), "no oftener than at once");
+        (0..60).for_each(|_| reuse.forget());
+        assert!(!reuse.is_stale(long), "tried again after a while");
+    }
+}
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -103,6 +103,8 @@
     Say(String),
     /// Writes this, and closes.
     SayAndClose(String),
+    /// Writes this, and drops the connection without a sign: the next request on it meets a reset.
+    SayAndVanish(String),
     /// Says nothing until the other side closes or the host is told to release it.
     Stall,
 }
@@ -171,6 +173,12 @@
                     write.write_all(text.as_bytes()).await.expect("written");
                     return;
                 }
+                Act::SayAndVanish(text) => {
+                    write.write_all(text.as_bytes()).await.expect("written");
+                    // Closed with something unread.
+                    let _ = reader.stream.peek(&mut [0]).await;
+                    return;
+                }
                 Act::Stall => tokio::select! {
                     _ = reader.more() => return,
                     () = self.release.notified() => {
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -6,7 +6,7 @@
 use std::slice::from_ref;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A connection costs a host many times a request's overhead. It must be back before the outcome is told:
 /// else the request that the outcome lets go opens another.
@@ -208,3 +208,22 @@
         }
     });
 }
+
+/// Where connections that stood idle are found dropped, a request that must never run twice opens its own; one that
+/// may go again makes do.
+#[test]
+fn an_unsafe_request_is_kept_off_connections_that_go_stale() {
+    run(async {
+        let Act::Say(text) = ok("served") else { return };
+        let host = Host::start([Act::SayAndVanish(text)]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        for _ in 0..8 {
+            assert_eq!(client.ask(&request("free", "", "")).await.status(), 200, "it goes again");
+            sleep(Duration::from_millis(40)).await;
+        }
+        let seen = host.count();
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        assert_eq!(host.count(), seen + 1);
+    });
+}
