Keep a call with little time left off servers whose way alone takes it

A call is now sent where a zone's least answer time, with the margin strain allows it, fits in what it has left, as long as such a server has room; else it goes as before and keeps nobody waiting.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -758,7 +758,17 @@
         let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(&self.servers[i]));
         let fresh = ring().any(|i| call.untried(self.servers[i].id));
         let untried = ring().filter(|&i| !fresh || call.untried(self.servers[i].id));
-        let up: Vec<usize> = untried.take(self.window()).collect();
+        let mut up: Vec<usize> = untried.take(self.window()).collect();
+        // A call with little time left is not sent where the way alone takes it, as long as others have room.
+        let in_time = |s: &Server| {
+            let way = self.ways.get(&s.zone).and_then(|way| way.least).unwrap_or(0.0);
+            now as f64 + way * STRAIN_WAY <= call.deadline as f64
+        };
+        if up.iter().any(|&i| !in_time(&self.servers[i])) {
+            let soon = |&i: &usize| in_time(&self.servers[i]) && !self.servers[i].full(now, rules);
+            let near: Vec<usize> = up.iter().copied().filter(soon).collect();
+            up = if near.is_empty() { up } else { near };
+        }
         let of =
             |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
         let (room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -398,6 +398,32 @@
     assert!(far >= 3, "an idle far server keeps its first budget: {burst:?}");
 }
 
+#[test]
+fn a_call_with_little_time_left_goes_to_no_far_server_while_a_near_one_has_room() {
+    let class = Class { aim: 150 * MS, deadline: 500 * MS, ..settings(Repeat::SingleShot).classes[0] };
+    let mut proxy =
+        Proxy::new(Settings { balancers: 2, classes: vec![class], ..settings(Repeat::SingleShot) }, 0);
+    proxy.list(ListKind::Full, (1..=2).map(|i| Entry { zone: ZoneId(i), ..ready(i) }).collect());
+    for _ in 0..20 {
+        let (_, actions) = proxy.call();
+        let (call, server) = sent(&actions)[0];
+        let way = if server == ServerId(2) { 55 * MS } else { 2 * MS };
+        proxy.now += way;
+        proxy.end(call, 0, Outcome::Served, way);
+    }
+    let mut ask = |number: u64, time_left: Micros| {
+        let call = CallId(1_000 + number);
+        let (class, tenant) = (ClassId(0), None);
+        sent(&proxy.event(Event::Request { call, class, tenant, time_left, resent: false }))
+    };
+    // The near one's budget holds three: by load alone the second and third would go far.
+    let hurried: Vec<_> = (0..3).flat_map(|number| ask(number, 60 * MS)).map(|s| s.1).collect();
+    assert_eq!(hurried, [ServerId(1); 3], "the way to the other takes all they have");
+    assert_eq!(ask(3, 400 * MS)[0].1, ServerId(2), "one with time goes where less is in flight");
+    let last = ask(4, 60 * MS);
+    assert!(!last.is_empty(), "with no room near, it goes all the same and keeps nobody waiting");
+}
+
 #[test]
 fn time_outs_of_a_server_that_answers_others_do_not_set_it_aside() {
     let mut proxy = Proxy::new(Settings { balancers: 1, ..settings(Repeat::SingleShot) }, 3);
