Refuse requests whose method is not their class's with 400

PROTOCOL: a class safe to repeat uses GET, the others POST. Any method was passed on, so an improper peer could have a host meet a request that no client sent.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -184,7 +184,7 @@
     arrived: Instant,
 ) -> Result<(Ask, Forward), StatusCode> {
     let (head, body) = request.into_parts();
-    let (mut ask, budget) = ask(driver, &head.headers).ok_or(StatusCode::BAD_REQUEST)?;
+    let (mut ask, budget) = ask(driver, &head.method, &head.headers).ok_or(StatusCode::BAD_REQUEST)?;
     ask.deadline = arrived + budget.saturating_sub(WAY_BACK);
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
@@ -200,12 +200,17 @@
     Ok((ask, forward))
 }
 
-/// What the headers say of a request; `None` if its id, class or budget is missing, double or unusable.
-fn ask(driver: &Handle, headers: &HeaderMap) -> Option<(Ask, Duration)> {
+/// What the head says of a request; `None` if its id, class or budget is missing, double or unusable, or its method
+/// is not the class's: no client sends that, and a host would meet a request that is nobody's.
+fn ask(driver: &Handle, method: &Method, headers: &HeaderMap) -> Option<(Ask, Duration)> {
     let config = driver.config();
     single(headers, "x-call-id").filter(|id| !id.is_empty())?;
     let class = place(&config.classes, single(headers, "x-call-class")?)?;
     let spec = config.settings.classes.get(class)?;
+    let wanted = if spec.repeat == Repeat::Free { Method::GET } else { Method::POST };
+    if *method != wanted {
+        return None;
+    }
     // Without its key a keyed request would run again wherever it is sent again.
     if matches!(spec.repeat, Repeat::Guarded { .. }) {
         single(headers, "idempotency-key").filter(|key| !key.is_empty())?;
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -319,11 +319,11 @@
 
 pub const HEALTH: &str = "GET /_health HTTP/1.1\r\n\r\n";
 
-/// A request of a class, with further header lines and a body.
+/// A request of a class, by its method, with further header lines and a body.
 pub fn request(class: &str, more: &str, body: &str) -> String {
-    let length = body.len();
+    let (length, method) = (body.len(), if class == "free" { "GET" } else { "POST" });
     format!(
-        "POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: 9b1f03aa5c7e2d41\r\nX-Call-Class: {class}\r\n\
+        "{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: 9b1f03aa5c7e2d41\r\nX-Call-Class: {class}\r\n\
          X-Budget-Ms: 8000\r\n{more}Content-Length: {length}\r\n\r\n{body}"
     )
 }
