--- /dev/null
+++ b/proxy/src/features.rs
@@ -0,0 +1,141 @@
+//! The operators' own file: an INI file that switches features on, beside the platform's configuration. It is
+//! read at start only, and whatever in it is not understood ends the start.
+
+use ini_core::{Item, Parser};
+use std::fmt::Display;
+use std::path::Path;
+use std::str::FromStr;
+
+/// The features that are on, with their settings.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Features {}
+
+/// What is wrong with the file, and in which line.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    line: u32,
+    reason: String,
+}
+
+impl Problem {
+    fn new(line: u32, reason: impl Into<String>) -> Problem {
+        Problem { line, reason: reason.into() }
+    }
+}
+
+/// A key with its value.
+struct Entry {
+    line: u32,
+    key: String,
+    value: String,
+}
+
+/// A section of the file, from which its feature takes what it knows.
+pub struct Section {
+    line: u32,
+    name: String,
+    entries: Vec<Entry>,
+}
+
+impl Section {
+    /// The value of a key, if it is there.
+    pub fn take<T: FromStr<Err: Display>>(&mut self, key: &str) -> Result<Option<T>, Problem> {
+        self.take_if(key, |_| Ok(()))
+    }
+
+    /// The same, where a value must also be `good`.
+    pub fn take_if<T: FromStr<Err: Display>>(
+        &mut self,
+        key: &str,
+        good: impl FnOnce(&T) -> Result<(), String>,
+    ) -> Result<Option<T>, Problem> {
+        let Some(place) = self.entries.iter().position(|entry| entry.key == key) else { return Ok(None) };
+        let Entry { line, value, .. } = self.entries.remove(place);
+        let bad = |reason: String| Problem::new(line, format!("{key} = {value}: {reason}"));
+        let read = value.parse().map_err(|e: T::Err| bad(e.to_string()))?;
+        good(&read).map_err(bad)?;
+        Ok(Some(read))
+    }
+
+    /// What is wrong with the section as a whole.
+    pub fn problem(&self, reason: impl Into<String>) -> Problem {
+        Problem::new(self.line, format!("[{}]: {}", self.name, reason.into()))
+    }
+}
+
+impl Features {
+    /// Reads a file.
+    pub fn load(path: &Path) -> Result<Features, String> {
+        let file = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
+        Features::parse(&text).map_err(|problem| format!("{file}:{}: {}", problem.line, problem.reason))
+    }
+
+    /// Reads a file's text.
+    pub fn parse(text: &str) -> Result<Features, Problem> {
+        if let Some(section) = sections(text)?.first() {
+            return Err(Problem::new(section.line, format!("unknown section [{}]", section.name)));
+        }
+        Ok(Features::default())
+    }
+}
+
+/// The sections of a text, each once and each of its keys once.
+fn sections(text: &str) -> Result<Vec<Section>, Problem> {
+    let mut sections: Vec<Section> = Vec::new();
+    let mut parser = Parser::new(text.trim_start_matches('\u{feff}')).auto_trim(true);
+    loop {
+        let line = parser.line() + 1;
+        match parser.next() {
+            None => return Ok(sections),
+            Some(Item::SectionEnd | Item::Comment(_) | Item::Blank) => {}
+            Some(Item::Section(name)) => {
+                if sections.iter().any(|section| section.name == name) {
+                    return Err(Problem::new(line, format!("[{name}] stands there twice")));
+                }
+                sections.push(Section { line, name: name.to_owned(), entries: Vec::new() });
+            }
+            Some(Item::Property(key, _)) if key.starts_with(['#', ';']) => {}
+            Some(Item::Property(key, Some(value))) => {
+                let Some(section) = sections.last_mut() else {
+                    return Err(Problem::new(line, format!("{key} stands in no section")));
+                };
+                if section.entries.iter().any(|entry| entry.key == key) {
+                    return Err(Problem::new(line, format!("{key} stands there twice")));
+                }
+                section.entries.push(Entry { line, key: key.to_owned(), value: value.to_owned() });
+            }
+            Some(Item::Error(text) | Item::Property(text, None)) => {
+                return Err(Problem::new(line, format!("neither a section nor a key = value: {text}")));
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn comments_and_blank_lines_switch_nothing_on() {
+        let text = "\u{feff}; one\r\n\r\n  ; two = 2\n# three\n# four = 4\n";
+        assert_eq!(Features::parse(text), Ok(Features::default()));
+    }
+
+    #[test]
+    fn what_is_not_understood_is_told_with_its_line() {
+        let cases = [
+            ("\n\n[weather]\n", 3, "unknown section [weather]"),
+            ("[weather", 1, "neither a section"),
+            ("\nnoise\n", 2, "neither a section"),
+            ("a = 1", 1, "a stands in no section"),
+            ("[s]\na = 1\n\na = 2\n", 4, "a stands there twice"),
+            ("[s]\n[t]\n[s]\n", 3, "[s] stands there twice"),
+        ];
+        for (text, line, reason) in cases {
+            let problem = Features::parse(text).expect_err(text);
+            assert_eq!(problem.line, line, "{text}: {problem:?}");
+            assert!(problem.reason.contains(reason), "{text}: {problem:?}");
+        }
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod discovery;
 pub mod driver;
+pub mod features;
 pub mod server;
 pub mod upstream;
 
@@ -19,7 +20,7 @@
 
 /// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
 pub fn log(line: &str) {
-    let _ = writeln!(io::stderr(), "nettleworks: {line}");
+    let _ = writeln!(io::stderr(), "flaxhead: {line}");
 }
 
 /// Serves until `stop` is done and all that was taken is answered, with the list that is watched at the last
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 
 use nettleworks::config::Config;
+use nettleworks::features::Features;
 use nettleworks::server;
+use std::ffi::OsString;
 use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
@@ -12,17 +14,25 @@
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
+const USAGE: &str = "usage: flaxhead [FILE.ini]";
+
 fn main() -> ExitCode {
-    match start() {
+    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let done = match arguments.as_slice() {
+        [] => start(Features::default()),
+        [file] => Features::load(Path::new(file)).and_then(start),
+        _ => Err(USAGE.to_owned()),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            let _ = writeln!(std::io::stderr(), "nettleworks: {}", reason.replace('\n', " "));
+            let _ = writeln!(std::io::stderr(), "flaxhead: {}", reason.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
 }
 
-fn start() -> Result<(), String> {
+fn start(_features: Features) -> Result<(), String> {
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
     let config = Config::load(Path::new(&path))?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -52,7 +52,7 @@
 fn program(config: &str, name: &str) -> (Command, std::path::PathBuf) {
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_nettleworks"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxhead"));
     command.env("ROUTER_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
     (command, path)
 }
@@ -159,3 +159,42 @@
         assert!(text.contains(reason) && !text.contains("panicked"), "{text}");
     }
 }
+
+#[test]
+fn the_program_serves_with_its_own_file() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let address = free_address();
+        let config = configuration(discovery.address, from_ref(&host), |config| {
+            config["listen"] = address.to_string().into();
+        });
+        let own = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/flaxhead.ini");
+        let mut child = program(&config, "own.json").0.arg(own).spawn().expect("it starts");
+        let mut client = connect(address).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
+        tell(&child, "-TERM");
+        assert_eq!(exit_code(&mut child).await, Some(0));
+    });
+}
+
+/// What is wrong with the operators' own file is said with its name and line before anything is served.
+#[test]
+fn a_broken_file_of_ours_ends_it_with_file_line_and_reason() {
+    let good = run(async { configuration(Discovery::quiet().await.address, &[], |_| ()) });
+    let cases = [
+        ("; a comment\n[weather]\n", "broken.ini:2: unknown section [weather]"),
+        ("loose = 1\n", "broken.ini:1: loose stands in no section"),
+    ];
+    for (text, reason) in cases {
+        let (mut command, path) = program(&good, "broken.ini.json");
+        let own = path.with_file_name("broken.ini");
+        std::fs::write(&own, text).expect("written");
+        let output = command.arg(&own).output().expect("it runs");
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains(reason), "{said}");
+    }
+    let output = program(&good, "missing.json").0.arg("no-such.ini").output().expect("it runs");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && said.contains("no-such.ini: No such file"), "{said}");
+}
