--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -35,6 +35,8 @@
     pub connect_timeout: Duration,
     /// How long hosts keep an idle connection.
     pub conn_idle: Duration,
+    /// Descriptors that the features in use need.
+    pub side_descriptors: usize,
 }
 
 #[derive(Deserialize)]
@@ -109,11 +111,12 @@
             tenants,
             connect_timeout: Duration::from_micros(site.connect_timeout_us),
             conn_idle: Duration::from_micros(site.conn_idle_us),
+            side_descriptors: 0,
         })
     }
 
     /// Most connections to clients, and as many to hosts.
     pub fn connections_each_way(&self) -> usize {
-        (self.sockets - SPARE_DESCRIPTORS) / 2
+        (self.sockets - SPARE_DESCRIPTORS - self.side_descriptors) / 2
     }
 }
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -5,7 +5,7 @@
 use hyper::body::Bytes;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -50,7 +50,7 @@
 }
 
 /// What the list says of a host.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
 pub enum Health {
     /// It takes requests.
     Ready,
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -3,6 +3,7 @@
 
 use crate::config::Config;
 use crate::discovery::{self, Health, List};
+use crate::status::{Board, HostRow, LoadRow, Snapshot};
 use crate::upstream::{self, Connection, End, Meter};
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -115,6 +116,7 @@
 /// A call from its request until it is answered and none of its attempts is out.
 struct Call {
     forward: Rc<Forward>,
+    class: ClassId,
     /// It must never run twice.
     once: bool,
     deadline: Instant,
@@ -214,6 +216,13 @@
     }
 }
 
+/// What the driver tells the features that are on.
+#[derive(Debug, Default)]
+pub struct Hooks {
+    /// The status page.
+    pub board: Option<Board>,
+}
+
 struct Driver {
     clock: Clock,
     config: Rc<Config>,
@@ -233,6 +242,7 @@
     slots: Rc<()>,
     reuse: Reuse,
     counts: Counts,
+    hooks: Hooks,
 }
 
 /// The driver, shared by the tasks of one thread. No method waits, and none is called from within another.
@@ -262,7 +272,7 @@
 
 impl Handle {
     /// Starts the module with what the configuration holds.
-    pub fn start(config: Rc<Config>) -> Handle {
+    pub fn start(config: Rc<Config>, hooks: Hooks) -> Handle {
         let driver = Driver {
             clock: Clock::new(),
             balancer: Balancer::new(config.seed, config.settings.clone()),
@@ -280,6 +290,7 @@
             slots: Rc::default(),
             reuse: Reuse::default(),
             counts: Counts::default(),
+            hooks,
             config: config.clone(),
         };
         let handle = Handle(Rc::new(RefCell::new(driver)));
@@ -329,6 +340,28 @@
         crate::log(&format!("{calls} calls, {open} connections ({idle} idle), {:?}", driver.counts));
     }
 
+    /// What the status page shows of now.
+    pub fn snapshot(&self) -> Snapshot {
+        let driver = self.0.borrow();
+        let board = driver.hooks.board.as_ref();
+        let host = |(name, server): (&String, &ServerId)| {
+            let host = driver.hosts.get(server)?;
+            let last_errors = board.map(|board| board.errors(*server)).unwrap_or_default();
+            Some(HostRow { host: name.clone(), dial: host.dial, health: host.health, last_errors })
+        };
+        let mut hosts: Vec<HostRow> = driver.names.iter().filter_map(host).collect();
+        hosts.sort_by(|a, b| a.host.cmp(&b.host));
+        let classes = driver.config.classes.iter().enumerate();
+        let load = classes.map(|(class, name)| LoadRow {
+            class: name.clone(),
+            in_hand: driver.calls.values().filter(|c| c.reply.is_some() && c.class.0 == class).count(),
+            requests: board.map_or(0, |board| board.requests(class)),
+            per_second: 0.0,
+        });
+        let uptime_s = driver.clock.start.elapsed().as_secs();
+        Snapshot { version: env!("CARGO_PKG_VERSION"), uptime_s, hosts, load: load.collect() }
+    }
+
     /// Takes a request in.
     pub fn request(&self, ask: Ask, forward: Forward) -> Waiting {
         let mut driver = self.0.borrow_mut();
@@ -341,9 +374,11 @@
         let spec = driver.config.settings.classes.get(class.0);
         let once = spec.is_none_or(|class| class.repeat == Repeat::SingleShot);
         let forward = Rc::new(forward);
+        let classes = driver.config.classes.len();
+        driver.hooks.board.iter_mut().for_each(|board| board.asked(class, classes));
         driver
             .calls
-            .insert(call, Call { forward, once, deadline, reply: Some(sender), attempts: Vec::new() });
+            .insert(call, Call { forward, class, once, deadline, reply: Some(sender), attempts: Vec::new() });
         drop(driver);
         self.run([Event::Request { call, class, tenant, time_left, resent }]);
         Waiting { driver: self.clone(), call, reply }
@@ -388,8 +423,9 @@
         driver.events.push_back(Event::Members { kind, entries });
         driver.withdraw();
         driver.hosts.retain(|_, host| host.health != Health::Gone);
-        let Driver { names, hosts, .. } = &mut *driver;
+        let Driver { names, hosts, hooks, .. } = &mut *driver;
         names.retain(|_, server| hosts.contains_key(server));
+        hooks.board.iter_mut().for_each(|board| board.retain(|server| hosts.contains_key(&server)));
         drop(driver);
         self.run([]);
     }
@@ -451,6 +487,10 @@
         let (outcome, load) = (end.outcome, end.load);
         driver.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
         driver.tidy(id);
+        let Driver { hosts, hooks, .. } = &mut *driver;
+        if let Some(board) = hooks.board.as_mut().filter(|_| hosts.contains_key(&out.server)) {
+            board.ended(out.server, outcome);
+        }
         // Back before the outcome is told: else the call that it lets go would open another.
         let host = driver.hosts.get_mut(&out.server).filter(|host| host.takes(out.address));
         if let (Some(host), Some(connection)) = (host, end.connection) {
--- a/proxy/src/features.rs
+++ b/proxy/src/features.rs
@@ -1,6 +1,7 @@
 //! The operators' own file: an INI file that switches features on, beside the platform's configuration. It is
 //! read at start only, and whatever in it is not understood ends the start.
 
+use crate::status;
 use ini_core::{Item, Parser};
 use std::fmt::Display;
 use std::path::Path;
@@ -8,7 +9,10 @@
 
 /// The features that are on, with their settings.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Features {}
+pub struct Features {
+    /// The status page.
+    pub status: Option<status::Settings>,
+}
 
 /// What is wrong with the file, and in which line.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +65,16 @@
     pub fn problem(&self, reason: impl Into<String>) -> Problem {
         Problem::new(self.line, format!("[{}]: {}", self.name, reason.into()))
     }
+
+    /// Whether all has been taken.
+    fn finish(self) -> Result<(), Problem> {
+        match self.entries.first() {
+            Some(Entry { line, key, .. }) => {
+                Err(Problem::new(*line, format!("unknown key {key} in [{}]", self.name)))
+            }
+            None => Ok(()),
+        }
+    }
 }
 
 impl Features {
@@ -73,10 +87,15 @@
 
     /// Reads a file's text.
     pub fn parse(text: &str) -> Result<Features, Problem> {
-        if let Some(section) = sections(text)?.first() {
-            return Err(Problem::new(section.line, format!("unknown section [{}]", section.name)));
+        let mut features = Features::default();
+        for mut section in sections(text)? {
+            match section.name.as_str() {
+                "status" => features.status = Some(status::Settings::read(&mut section)?),
+                name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
+            }
+            section.finish()?;
         }
-        Ok(Features::default())
+        Ok(features)
     }
 }
 
@@ -122,6 +141,13 @@
         assert_eq!(Features::parse(text), Ok(Features::default()));
     }
 
+    #[test]
+    fn a_section_gets_its_defaults() {
+        let status = Features::parse("[status]\nlisten_port = 8600\n").expect("good").status;
+        let refresh = std::time::Duration::from_secs(1);
+        assert_eq!(status, Some(status::Settings { listen_port: Some(8600), refresh }));
+    }
+
     #[test]
     fn what_is_not_understood_is_told_with_its_line() {
         let cases = [
@@ -130,6 +156,10 @@
             ("\nnoise\n", 2, "neither a section"),
             ("a = 1", 1, "a stands in no section"),
             ("[s]\na = 1\n\na = 2\n", 4, "a stands there twice"),
+            ("[status]\nlisten_port = 70000\n", 2, "listen_port = 70000: "),
+            ("[status]\nlisten_port = 0\n", 2, "listen_port = 0: no port"),
+            ("[status]\nrefresh_ms = 5\n", 2, "refresh_ms = 5: 10 to 3600000"),
+            ("[status]\n\nport = 80\n", 3, "unknown key port in [status]"),
             ("[s]\n[t]\n[s]\n", 3, "[s] stands there twice"),
         ];
         for (text, line, reason) in cases {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -8,9 +8,12 @@
 pub mod driver;
 pub mod features;
 pub mod server;
+pub mod side;
+pub mod status;
 pub mod upstream;
 
 use config::Config;
+use side::Side;
 use std::future::Future;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -24,14 +27,16 @@
 }
 
 /// Serves until `stop` is done and all that was taken is answered, with the list that is watched at the last
-/// address in `discovery`. Runs inside a [`tokio::task::LocalSet`].
+/// address in `discovery` and the features of `side`. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
     config: Config,
+    side: Side,
     listener: TcpListener,
     mut discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) {
-    let driver = driver::Handle::start(Rc::new(config));
+    let driver = driver::Handle::start(Rc::new(config), side.hooks());
+    let _status = side.status.map(|page| upstream::spawn(page.serve(driver.clone())));
     let moving = driver.clone();
     let _moving = upstream::spawn(async move {
         while discovery.changed().await.is_ok() {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -5,6 +5,7 @@
 use nettleworks::config::Config;
 use nettleworks::features::Features;
 use nettleworks::server;
+use nettleworks::side::Side;
 use std::ffi::OsString;
 use std::io::Write;
 use std::path::Path;
@@ -32,9 +33,9 @@
     }
 }
 
-fn start(_features: Features) -> Result<(), String> {
+fn start(features: Features) -> Result<(), String> {
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-    let config = Config::load(Path::new(&path))?;
+    let mut config = Config::load(Path::new(&path))?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     LocalSet::new().block_on(&runtime, async {
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
@@ -50,10 +51,11 @@
             }
         });
         let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let side = Side::open(features, &mut config)?;
         let stop = async move {
             terminate.recv().await;
         };
-        nettleworks::run(config, listener, discovery, stop).await;
+        nettleworks::run(config, side, listener, discovery, stop).await;
         // What is left are tasks without a client: timers, the watch, idle connections.
         Ok(())
     })
--- /dev/null
+++ b/proxy/src/status.rs
@@ -0,0 +1,303 @@
+//! The status page: which hosts were failing and with what, and the load of each class. It is made anew now and
+//! then, off the request path, and served from a side port as it was last made.
+
+use crate::discovery::Health;
+use crate::driver::Handle;
+use crate::features::{Problem, Section};
+use crate::log;
+use html_escape::encode_safe;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{self, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ochrepond::{ClassId, Outcome, ServerId};
+use serde::Serialize;
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::convert::Infallible;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Connections to the page at once; more wait to be accepted.
+const READERS: usize = 8;
+/// How long one may last: a reader that takes longer is cut off.
+const READER_TIME: Duration = Duration::from_secs(5);
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Errors that are kept of a host.
+const ERRORS: usize = 3;
+
+/// What `[status]` holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Port of the page, on the host that the proxy listens on; `None`: there is none.
+    pub listen_port: Option<u16>,
+    /// How often the page is made anew.
+    pub refresh: Duration,
+}
+
+impl Settings {
+    /// Takes them from the section.
+    pub fn read(section: &mut Section) -> Result<Settings, Problem> {
+        let port = |port: &u16| if *port > 0 { Ok(()) } else { Err("no port".to_owned()) };
+        let span =
+            |ms: &u64| if (10..=3_600_000).contains(ms) { Ok(()) } else { Err("10 to 3600000".to_owned()) };
+        let listen_port = section.take_if("listen_port", port)?;
+        let refresh = section.take_if("refresh_ms", span)?.unwrap_or(1_000);
+        Ok(Settings { listen_port, refresh: Duration::from_millis(refresh) })
+    }
+}
+
+/// What is noted for the page as it happens.
+#[derive(Debug, Default)]
+pub struct Board {
+    errors: HashMap<ServerId, VecDeque<&'static str>>,
+    /// Requests so far, by class.
+    asked: Vec<u64>,
+}
+
+impl Board {
+    /// A request of a class has come in.
+    pub fn asked(&mut self, ClassId(class): ClassId, classes: usize) {
+        self.asked.resize(classes, 0);
+        self.asked.iter_mut().skip(class).take(1).for_each(|count| *count += 1);
+    }
+
+    /// An attempt at a listed host has ended.
+    pub fn ended(&mut self, server: ServerId, outcome: Outcome) {
+        if let Some(word) = outcome.error_word() {
+            let errors = self.errors.entry(server).or_default();
+            errors.truncate(ERRORS - 1);
+            errors.push_front(word);
+        }
+    }
+
+    /// Forgets the hosts that are no longer listed.
+    pub fn retain(&mut self, listed: impl Fn(ServerId) -> bool) {
+        self.errors.retain(|server, _| listed(*server));
+    }
+
+    /// The last errors of a host, the latest last.
+    pub fn errors(&self, server: ServerId) -> Vec<&'static str> {
+        self.errors.get(&server).into_iter().flatten().rev().copied().collect()
+    }
+
+    /// Requests of a class so far.
+    pub fn requests(&self, class: usize) -> u64 {
+        self.asked.get(class).copied().unwrap_or(0)
+    }
+}
+
+/// A host, as the page shows it.
+#[derive(Debug, Serialize)]
+pub struct HostRow {
+    /// Its name.
+    pub host: String,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// What discovery says of it.
+    pub health: Health,
+    /// Its last errors in the platform's words, the latest last.
+    pub last_errors: Vec<&'static str>,
+}
+
+/// The load of a class, as the page shows it.
+#[derive(Debug, Serialize)]
+pub struct LoadRow {
+    /// Its name.
+    pub class: String,
+    /// Calls that wait for their answer.
+    pub in_hand: usize,
+    /// Requests since the start.
+    pub requests: u64,
+    /// Requests a second, since the page was last made.
+    pub per_second: f64,
+}
+
+/// All that the page shows.
+#[derive(Debug, Serialize)]
+pub struct Snapshot {
+    /// The program's version.
+    pub version: &'static str,
+    /// Whole seconds since the start.
+    pub uptime_s: u64,
+    /// By name.
+    pub hosts: Vec<HostRow>,
+    /// In the order of the settings.
+    pub load: Vec<LoadRow>,
+}
+
+impl Snapshot {
+    fn html(&self) -> String {
+        let mut page = format!(
+            "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>flaxhead</title></head><body>\n\
+             <h1>flaxhead</h1>\n<p>Version {}, up {} s</p>\n\
+             <table><tr><th>host</th><th>dial</th><th>health</th><th>last errors</th></tr>\n",
+            self.version, self.uptime_s
+        );
+        // Writing to a string cannot fail.
+        for HostRow { host, dial, health, last_errors } in &self.hosts {
+            let (host, errors) = (encode_safe(host), last_errors.join(", "));
+            let _ =
+                writeln!(page, "<tr><td>{host}</td><td>{dial}</td><td>{health:?}</td><td>{errors}</td></tr>");
+        }
+        page +=
+            "</table>\n<table><tr><th>class</th><th>in hand</th><th>requests</th><th>per second</th></tr>\n";
+        for LoadRow { class, in_hand, requests, per_second } in &self.load {
+            let class = encode_safe(class);
+            let _ = writeln!(
+                page,
+                "<tr><td>{class}</td><td>{in_hand}</td><td>{requests}</td><td>{per_second:.1}</td></tr>"
+            );
+        }
+        page + "</table>\n</body></html>\n"
+    }
+}
+
+/// The page in both forms.
+#[derive(Debug, Default)]
+struct Rendered {
+    html: Bytes,
+    json: Bytes,
+}
+
+impl Rendered {
+    fn new(snapshot: &Snapshot) -> Rendered {
+        let json = serde_json::to_vec(snapshot).unwrap_or_default();
+        Rendered { html: snapshot.html().into(), json: json.into() }
+    }
+}
+
+/// The page's port, open.
+#[derive(Debug)]
+pub struct Page {
+    listener: TcpListener,
+    refresh: Duration,
+}
+
+impl Page {
+    /// Descriptors that it needs at the most.
+    pub const DESCRIPTORS: usize = READERS + 1;
+
+    /// Serves on a listener.
+    pub fn new(listener: TcpListener, refresh: Duration) -> Page {
+        Page { listener, refresh }
+    }
+
+    /// Serves the page until it is dropped.
+    pub async fn serve(self, driver: Handle) {
+        let latest = Rc::new(RefCell::new(Rendered::default()));
+        let refresh = async {
+            let mut before: Vec<u64> = Vec::new();
+            loop {
+                let mut snapshot = driver.snapshot();
+                for (place, row) in snapshot.load.iter_mut().enumerate() {
+                    let new = row.requests - before.get(place).copied().unwrap_or(0);
+                    row.per_second = new as f64 / self.refresh.as_secs_f64();
+                }
+                before = snapshot.load.iter().map(|row| row.requests).collect();
+                latest.replace(Rendered::new(&snapshot));
+                sleep(self.refresh).await;
+            }
+        };
+        tokio::join!(refresh, accept(&self.listener, &latest));
+    }
+}
+
+async fn accept(listener: &TcpListener, latest: &Rc<RefCell<Rendered>>) {
+    let places = Arc::new(Semaphore::new(READERS));
+    while let Ok(place) = places.clone().acquire_owned().await {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log(&format!("status: accept: {error}"));
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let latest = latest.clone();
+        let service = service_fn(move |request| {
+            let answer = answer(&request, &latest.borrow());
+            async move { Ok::<_, Infallible>(answer) }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .keep_alive(false)
+            .serve_connection(TokioIo::new(stream), service);
+        spawn_local(async move {
+            // A reader that goes, or is too slow, is nobody's loss.
+            let _ = timeout(READER_TIME, connection).await;
+            drop(place);
+        });
+    }
+}
+
+fn answer(request: &Request<Incoming>, latest: &Rendered) -> Response<Full<Bytes>> {
+    let (body, kind) = match request.uri().path() {
+        "/status" => (&latest.html, "text/html; charset=utf-8"),
+        "/status.json" => (&latest.json, "application/json"),
+        _ => return plain(StatusCode::NOT_FOUND),
+    };
+    if request.method() != Method::GET {
+        let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED);
+        answer.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET"));
+        return answer;
+    }
+    let mut answer = Response::new(Full::new(body.clone()));
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    answer.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    answer
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_last_three_errors_of_a_host_are_kept_in_the_platforms_words_and_die_with_it() {
+        let mut board = Board::default();
+        let server = ServerId(1);
+        let outcomes = [
+            Outcome::Error,
+            Outcome::TurnedAway,
+            Outcome::Served,
+            Outcome::NoConnection,
+            Outcome::CalledOff,
+            Outcome::TimedOut,
+            Outcome::Reset,
+        ];
+        outcomes.into_iter().for_each(|outcome| board.ended(server, outcome));
+        assert_eq!(board.errors(server), ["could not connect", "timed out", "reset"]);
+        board.ended(ServerId(2), Outcome::Unknown);
+        board.retain(|server| server == ServerId(2));
+        assert!(board.errors(server).is_empty());
+        assert_eq!(board.errors(ServerId(2)), ["error"]);
+    }
+
+    #[test]
+    fn what_discovery_told_is_escaped() {
+        let host = "<b>&\"'".to_owned();
+        let dial = SocketAddr::from(([127, 0, 0, 1], 1));
+        let row = HostRow { host, dial, health: Health::Ready, last_errors: vec!["reset"] };
+        let page = Snapshot { version: "1", uptime_s: 2, hosts: vec![row], load: Vec::new() };
+        let html = page.html();
+        assert!(!html.contains("<b>") && html.contains("&lt;b&gt;&amp;&quot;&#x27;"), "{html}");
+        let json: serde_json::Value = serde_json::from_slice(&Rendered::new(&page).json).expect("it is JSON");
+        assert_eq!(json["hosts"][0]["host"], "<b>&\"'");
+    }
+}
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use nettleworks::config::Config;
+use nettleworks::side::Side;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -297,14 +298,25 @@
         discovery: &Discovery,
         hosts: &[Host],
         change: impl FnOnce(&mut serde_json::Value),
+    ) -> Proxy {
+        Proxy::with_side(discovery, hosts, change, |_| Side::default()).await
+    }
+
+    /// A proxy with features.
+    pub async fn with_side(
+        discovery: &Discovery,
+        hosts: &[Host],
+        change: impl FnOnce(&mut serde_json::Value),
+        side: impl FnOnce(&mut Config) -> Side,
     ) -> Proxy {
         let config = configuration(discovery.address, hosts, change);
-        let config = Config::parse(&config).expect("a good configuration");
+        let mut config = Config::parse(&config).expect("a good configuration");
+        let side = side(&mut config);
         let listener = nettleworks::server::listen(config.listen).expect("it listens");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = oneshot::channel();
         let (discovery, moves) = watch::channel(config.discovery);
-        let task = spawn_local(nettleworks::run(config, listener, moves, async {
+        let task = spawn_local(nettleworks::run(config, side, listener, moves, async {
             let _ = stopped.await;
         }));
         Proxy { address, discovery, stop: Some(stop), task }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 mod api;
 mod balance;
 mod state;
+mod words;
 
 pub use api::*;
 pub use balance::Balancer;
