--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -1,6 +1,7 @@
 //! Drives the decision module: turns what happens on the sockets into its events, in one order and on one
 //! clock, and carries out its actions. It decides nothing itself.
 
+use crate::audit::{self, Actor, Trail};
 use crate::config::Config;
 use crate::discovery::{self, Health, List};
 use crate::status::{Board, HostRow, LoadRow, Snapshot};
@@ -221,6 +222,8 @@
 pub struct Hooks {
     /// The status page.
     pub board: Option<Board>,
+    /// The audit trail.
+    pub trail: Option<Trail>,
 }
 
 struct Driver {
@@ -397,6 +400,7 @@
     /// Takes a list in: hosts that it does not name ready get nothing more that is not yet on its way.
     fn members(&self, list: List, cached: bool) {
         let mut driver = self.0.borrow_mut();
+        let before = driver.hooks.trail.is_some().then(|| driver.healths());
         driver.listed |= !cached || !list.hosts.is_empty();
         driver.seq = Some(list.seq);
         let kind = match list.whole {
@@ -426,6 +430,11 @@
         let Driver { names, hosts, hooks, .. } = &mut *driver;
         names.retain(|_, server| hosts.contains_key(server));
         hooks.board.iter_mut().for_each(|board| board.retain(|server| hosts.contains_key(&server)));
+        if let (Some(before), Some(trail)) = (before, &driver.hooks.trail) {
+            for (host, health) in audit::switches(&before, &driver.healths()) {
+                trail.note("health", Actor::Platform, &format!("{host} {health:?}"));
+            }
+        }
         drop(driver);
         self.run([]);
     }
@@ -619,6 +628,12 @@
         }));
     }
 
+    /// What the list says of each host.
+    fn healths(&self) -> BTreeMap<String, Health> {
+        let health = |(name, server): (&String, _)| Some((name.clone(), self.hosts.get(server)?.health));
+        self.names.iter().filter_map(health).collect()
+    }
+
     /// The number of a host. What is idle there is of no use once it moves or starts again.
     fn intern(&mut self, entry: &discovery::Host) -> ServerId {
         let server = *self.names.entry(entry.host.clone()).or_insert_with(|| {
--- a/proxy/src/features.rs
+++ b/proxy/src/features.rs
@@ -1,7 +1,7 @@
 //! The operators' own file: an INI file that switches features on, beside the platform's configuration. It is
 //! read at start only, and whatever in it is not understood ends the start.
 
-use crate::status;
+use crate::{audit, status};
 use ini_core::{Item, Parser};
 use std::fmt::Display;
 use std::path::Path;
@@ -12,6 +12,8 @@
 pub struct Features {
     /// The status page.
     pub status: Option<status::Settings>,
+    /// The audit trail.
+    pub audit: Option<audit::Settings>,
 }
 
 /// What is wrong with the file, and in which line.
@@ -91,6 +93,7 @@
         for mut section in sections(text)? {
             match section.name.as_str() {
                 "status" => features.status = Some(status::Settings::read(&mut section)?),
+                "audit" => features.audit = Some(audit::Settings::read(&mut section)?),
                 name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
             }
             section.finish()?;
@@ -160,6 +163,7 @@
             ("[status]\nlisten_port = 0\n", 2, "listen_port = 0: no port"),
             ("[status]\nrefresh_ms = 5\n", 2, "refresh_ms = 5: 10 to 3600000"),
             ("[status]\n\nport = 80\n", 3, "unknown key port in [status]"),
+            ("[audit]\ndir =\n", 2, "dir = : no folder"),
             ("[s]\n[t]\n[s]\n", 3, "[s] stands there twice"),
         ];
         for (text, line, reason) in cases {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,10 +3,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod audit;
 pub mod config;
 pub mod discovery;
 pub mod driver;
 pub mod features;
+pub mod output;
 pub mod server;
 pub mod side;
 pub mod status;
@@ -15,15 +17,18 @@
 use config::Config;
 use side::Side;
 use std::future::Future;
-use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+/// How long a stop waits for its last lines to be written.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
 /// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
 pub fn log(line: &str) {
-    let _ = writeln!(io::stderr(), "flaxhead: {line}");
+    output::put(format!("flaxhead: {line}\n"));
 }
 
 /// Serves until `stop` is done and all that was taken is answered, with the list that is watched at the last
@@ -35,6 +40,7 @@
     mut discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) {
+    let trail = side.trail.clone();
     let driver = driver::Handle::start(Rc::new(config), side.hooks());
     let _status = side.status.map(|page| upstream::spawn(page.serve(driver.clone())));
     let moving = driver.clone();
@@ -45,4 +51,8 @@
     });
     server::serve(listener, driver.clone(), stop).await;
     driver.log_counts();
+    if let Some(trail) = trail {
+        trail.close().await;
+    }
+    output::flush(LAST_LINES).await;
 }
--- /dev/null
+++ b/proxy/src/output.rs
@@ -0,0 +1,88 @@
+//! Standard error. Where a feature writes to it, a thread does all the writing and requests only queue their
+//! lines: a pipe that nobody reads must not delay them.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+
+/// Lines that may wait to be written; further ones are dropped and counted.
+const QUEUE: usize = 256;
+
+enum Item {
+    /// Whole lines.
+    Lines(String),
+    /// Tells when all before it is written.
+    Mark(oneshot::Sender<()>),
+}
+
+struct Queue {
+    items: mpsc::Sender<Item>,
+    dropped: AtomicU64,
+}
+
+/// `None`: every line is written by whoever has it.
+static THREAD: OnceLock<Queue> = OnceLock::new();
+
+/// Starts the thread.
+pub fn start() -> io::Result<()> {
+    let (items, mut queued) = mpsc::channel(QUEUE);
+    if THREAD.set(Queue { items, dropped: AtomicU64::new(0) }).is_err() {
+        return Ok(());
+    }
+    thread::Builder::new().name("output".to_owned()).spawn(move || {
+        while let Some(item) = queued.blocking_recv() {
+            match item {
+                Item::Lines(lines) => write(&lines),
+                // Whoever waited may have gone.
+                Item::Mark(done) => drop(done.send(())),
+            }
+            let dropped = THREAD.get().map_or(0, |queue| queue.dropped.swap(0, Ordering::Relaxed));
+            if dropped > 0 {
+                write(&format!("flaxhead: {dropped} lines dropped\n"));
+            }
+        }
+    })?;
+    Ok(())
+}
+
+/// A log that cannot be written to is no reason to stop serving.
+fn write(lines: &str) {
+    let _ = io::stderr().write_all(lines.as_bytes());
+}
+
+/// Writes whole lines, or queues them; never waits for the thread.
+pub fn put(lines: String) {
+    match THREAD.get() {
+        None => write(&lines),
+        Some(queue) if queue.items.try_send(Item::Lines(lines)).is_err() => {
+            queue.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Some(_) => {}
+    }
+}
+
+/// Writes whole lines from a thread that may wait for a place in the queue.
+pub fn put_waiting(lines: String) {
+    match THREAD.get() {
+        None => write(&lines),
+        // The thread lives as long as the process.
+        Some(queue) => drop(queue.items.blocking_send(Item::Lines(lines))),
+    }
+}
+
+/// Waits until all that is queued is written, or for so long.
+pub async fn flush(limit: Duration) {
+    let Some(queue) = THREAD.get() else { return };
+    let (done, written) = oneshot::channel();
+    let all = async {
+        // An end without a word means that there is no thread to wait for.
+        if queue.items.send(Item::Mark(done)).await.is_ok() {
+            let _ = written.await;
+        }
+    };
+    let _ = timeout(limit, all).await;
+}
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -351,3 +352,40 @@
         self.message().await.expect("an answer")
     }
 }
+
+/// The program, with a configuration that is written to a file of this name.
+pub fn program(config: &str, name: &str) -> (Command, std::path::PathBuf) {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxhead"));
+    command.env("ROUTER_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
+    (command, path)
+}
+
+/// A port that was free a moment ago; the program does not tell which it got otherwise.
+pub fn free_address() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port")
+}
+
+pub async fn connect(address: SocketAddr) -> Client {
+    loop {
+        match TcpStream::connect(address).await {
+            Ok(stream) => return Reader::new(stream),
+            Err(_) => sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
+
+pub fn tell(child: &Child, signal: &str) {
+    let told = Command::new("kill").args([signal, &child.id().to_string()]).status().expect("kill runs");
+    assert!(told.success());
+}
+
+pub async fn exit_code(child: &mut Child) -> Option<i32> {
+    loop {
+        match child.try_wait().expect("it can be waited for") {
+            Some(status) => return status.code(),
+            None => sleep(Duration::from_millis(5)).await,
+        }
+    }
+}
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -4,12 +4,8 @@
 
 use common::*;
 use std::io::Read;
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 use std::slice::from_ref;
-use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::sleep;
 
 /// A stop must answer all that was taken, take new connections for as long as they come, and close the rest.
 #[test]
@@ -49,42 +45,6 @@
     });
 }
 
-fn program(config: &str, name: &str) -> (Command, std::path::PathBuf) {
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, config).expect("written");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxhead"));
-    command.env("ROUTER_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
-    (command, path)
-}
-
-/// A port that was free a moment ago; the program does not tell which it got otherwise.
-fn free_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port")
-}
-
-async fn connect(address: SocketAddr) -> Client {
-    loop {
-        match TcpStream::connect(address).await {
-            Ok(stream) => return Reader::new(stream),
-            Err(_) => sleep(Duration::from_millis(5)).await,
-        }
-    }
-}
-
-fn tell(child: &Child, signal: &str) {
-    let told = Command::new("kill").args([signal, &child.id().to_string()]).status().expect("kill runs");
-    assert!(told.success());
-}
-
-async fn exit_code(child: &mut Child) -> Option<i32> {
-    loop {
-        match child.try_wait().expect("it can be waited for") {
-            Some(status) => return status.code(),
-            None => sleep(Duration::from_millis(5)).await,
-        }
-    }
-}
-
 #[test]
 fn the_program_serves_and_ends_well_on_sigterm() {
     run(async {
--- a/proxy/tests/status.rs
+++ b/proxy/tests/status.rs
@@ -19,7 +19,7 @@
     let listener = nettleworks::server::listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
     let address = listener.local_addr().expect("an address");
     let page = Page::new(listener, Duration::from_millis(20));
-    let side = |_: &mut Config| Side { status: Some(page) };
+    let side = |_: &mut Config| Side { status: Some(page), ..Side::default() };
     (Proxy::with_side(discovery, hosts, |_| (), side).await, address)
 }
 
