--- a/proxy/src/audit.rs
+++ b/proxy/src/audit.rs
@@ -3,7 +3,7 @@
 //! says so.
 
 use crate::discovery::Health;
-use crate::features::{Problem, Section};
+use crate::features::{named, Problem, Section};
 use crate::{log, output};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -48,13 +48,6 @@
     }
 }
 
-fn named(dir: &Path) -> Result<(), String> {
-    if dir.as_os_str().is_empty() {
-        return Err("no folder".to_owned());
-    }
-    Ok(())
-}
-
 /// Who brought a change about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -314,7 +307,7 @@
 impl Sink {
     /// Writes a line whole, however long that takes.
     fn append(&mut self, line: &str) {
-        let Sink::File(file, length) = self else { return output::put_waiting(line.to_owned()) };
+        let Sink::File(file, length) = self else { return output::put_and_wait(line.to_owned()) };
         let mut failed = false;
         while let Err(error) = file.write_all(line.as_bytes()).and_then(|()| file.sync_data()) {
             if !failed {
--- a/proxy/src/discovery.rs
+++ b/proxy/src/discovery.rs
@@ -27,7 +27,7 @@
 }
 
 /// An entry of the list.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Host {
     /// Its name, the same for every proxy.
     pub host: String,
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -2,6 +2,7 @@
 //! clock, and carries out its actions. It decides nothing itself.
 
 use crate::audit::{self, Actor, Trail};
+use crate::capture::{self, Item, Recorder};
 use crate::config::Config;
 use crate::discovery::{self, Health, List};
 use crate::status::{Board, HostRow, LoadRow, Snapshot};
@@ -9,11 +10,12 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use ochrepond::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, Repeat,
     ServerId, State, TenantId,
 };
+use std::borrow::Cow;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -114,6 +116,17 @@
     Failed,
 }
 
+impl Reply {
+    /// The status that the client gets.
+    pub fn code(&self) -> StatusCode {
+        match self {
+            Reply::Served(answer) => answer.status(),
+            Reply::Refused(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Reply::Failed => StatusCode::BAD_GATEWAY,
+        }
+    }
+}
+
 /// A call from its request until it is answered and none of its attempts is out.
 struct Call {
     forward: Rc<Forward>,
@@ -224,6 +237,8 @@
     pub board: Option<Board>,
     /// The audit trail.
     pub trail: Option<Trail>,
+    /// Capture.
+    pub capture: Option<Recorder>,
 }
 
 struct Driver {
@@ -365,6 +380,11 @@
         Snapshot { version: env!("CARGO_PKG_VERSION"), uptime_s, hosts, load: load.collect() }
     }
 
+    /// What capture has, if it is on.
+    pub fn captured<T>(&self, look: impl FnOnce(&Recorder) -> T) -> Option<T> {
+        self.0.borrow().hooks.capture.as_ref().map(look)
+    }
+
     /// Takes a request in.
     pub fn request(&self, ask: Ask, forward: Forward) -> Waiting {
         let mut driver = self.0.borrow_mut();
@@ -379,6 +399,12 @@
         let forward = Rc::new(forward);
         let classes = driver.config.classes.len();
         driver.hooks.board.iter_mut().for_each(|board| board.asked(class, classes));
+        driver.record(|| {
+            let word = |name| capture::word(&forward.headers, name);
+            let budget_ms = word("x-budget-ms").parse().unwrap_or(0);
+            let [class, caller, id] = ["x-call-class", "x-caller", "x-call-id"].map(|name| word(name).into());
+            Item::Asked { call, class, caller, id, budget_ms }
+        });
         driver
             .calls
             .insert(call, Call { forward, class, once, deadline, reply: Some(sender), attempts: Vec::new() });
@@ -423,6 +449,11 @@
             let started = entry.born_ms.saturating_mul(1_000);
             entries.push(Entry { server, state, zone, cell, started, weight: entry.share });
         }
+        driver.record(|| {
+            let servers = entries.iter().map(|entry| entry.server);
+            let hosts = servers.zip(list.hosts.iter().map(Cow::Borrowed)).collect();
+            Item::Line { seq: list.seq, whole: list.whole, hosts }
+        });
         // The module hears of the list before it hears of what the list undoes.
         driver.events.push_back(Event::Members { kind, entries });
         driver.withdraw();
@@ -488,12 +519,17 @@
         let mut driver = self.0.borrow_mut();
         let Some(call) = driver.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let mut answered = None;
         if let Some(reply) = end.answer.take().and_then(|answer| Some((call.reply.take()?, answer))) {
+            answered = Some(reply.1.status().as_u16());
             // A client that has just gone has no use for it.
             let _ = reply.0.send(Reply::Served(reply.1));
         }
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.reply.is_none());
         let (outcome, load) = (end.outcome, end.load);
+        if let Some(code) = answered {
+            driver.record(|| Item::Answered { call: id, code });
+        }
         driver.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
         driver.tidy(id);
         let Driver { hosts, hooks, .. } = &mut *driver;
@@ -521,10 +557,14 @@
                 *driver.counts.outcomes.entry(outcome).or_default() += 1;
             }
             let now = driver.clock.at(Instant::now());
+            driver.make_room(now);
+            driver.hooks.capture.iter_mut().for_each(|ring| ring.begin(now, &event));
             driver.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
+                driver.record(|| Item::Did(Cow::Borrowed(&action)));
                 driver.carry_out(self, action);
             }
+            driver.hooks.capture.iter_mut().for_each(Recorder::end);
         }
     }
 
@@ -538,6 +578,32 @@
 }
 
 impl Driver {
+    /// Records for a later replay, where capture is on.
+    fn record<'a>(&mut self, item: impl FnOnce() -> Item<'a>) {
+        if self.hooks.capture.is_some() {
+            let now = self.clock.at(Instant::now());
+            self.make_room(now);
+            if let Some(ring) = &mut self.hooks.capture {
+                ring.put(now, item());
+            }
+        }
+    }
+
+    /// Has capture open a file, where one is due.
+    fn make_room(&mut self, now: Micros) {
+        let Driver { hooks, config, balancer, names, hosts, calls, .. } = self;
+        let Some(ring) = hooks.capture.as_mut().filter(|ring| ring.is_due(now)) else { return };
+        let hosts = names.iter().filter_map(|(name, &server)| {
+            let host = Cow::Borrowed(name.as_str());
+            Some(Item::Host { server, host, dial: hosts.get(&server)?.dial })
+        });
+        let calls = calls.iter().map(|(&call, of)| {
+            let id = capture::word(&of.forward.headers, "x-call-id").into();
+            Item::Open { call, id }
+        });
+        ring.open(now, &config.settings, balancer, hosts.chain(calls));
+    }
+
     fn carry_out(&mut self, handle: &Handle, action: Action) {
         match action {
             Action::Send { call, server, until } => self.send(handle, call, server, until),
@@ -597,6 +663,8 @@
 
     fn answer(&mut self, id: CallId, reply: Reply) {
         if let Some(sender) = self.calls.get_mut(&id).and_then(|call| call.reply.take()) {
+            let code = reply.code().as_u16();
+            self.record(|| Item::Answered { call: id, code });
             // A client that has just gone has no use for it.
             let _ = sender.send(reply);
         }
--- a/proxy/src/features.rs
+++ b/proxy/src/features.rs
@@ -1,7 +1,7 @@
 //! The operators' own file: an INI file that switches features on, beside the platform's configuration. It is
 //! read at start only, and whatever in it is not understood ends the start.
 
-use crate::{audit, status};
+use crate::{audit, capture, status};
 use ini_core::{Item, Parser};
 use std::fmt::Display;
 use std::path::Path;
@@ -14,6 +14,8 @@
     pub status: Option<status::Settings>,
     /// The audit trail.
     pub audit: Option<audit::Settings>,
+    /// Capture.
+    pub capture: Option<capture::Settings>,
 }
 
 /// What is wrong with the file, and in which line.
@@ -94,6 +96,7 @@
             match section.name.as_str() {
                 "status" => features.status = Some(status::Settings::read(&mut section)?),
                 "audit" => features.audit = Some(audit::Settings::read(&mut section)?),
+                "capture" => features.capture = Some(capture::Settings::read(&mut section)?),
                 name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
             }
             section.finish()?;
@@ -102,6 +105,14 @@
     }
 }
 
+/// Whether a folder is named at all.
+pub fn named(dir: &Path) -> Result<(), String> {
+    if dir.as_os_str().is_empty() {
+        return Err("no folder".to_owned());
+    }
+    Ok(())
+}
+
 /// The sections of a text, each once and each of its keys once.
 fn sections(text: &str) -> Result<Vec<Section>, Problem> {
     let mut sections: Vec<Section> = Vec::new();
@@ -164,6 +175,9 @@
             ("[status]\nrefresh_ms = 5\n", 2, "refresh_ms = 5: 10 to 3600000"),
             ("[status]\n\nport = 80\n", 3, "unknown key port in [status]"),
             ("[audit]\ndir =\n", 2, "dir = : no folder"),
+            ("[capture]\nfiles = 1\n", 2, "files = 1: at least 2"),
+            ("\n[capture]\nfile_kb = 200\n", 2, "4 files of 200 KiB"),
+            ("[capture]\nfile_kb = 18446744073709551615\n", 1, "pass 1 MB"),
             ("[s]\n[t]\n[s]\n", 3, "[s] stands there twice"),
         ];
         for (text, line, reason) in cases {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod audit;
+pub mod capture;
 pub mod config;
 pub mod discovery;
 pub mod driver;
@@ -35,13 +36,14 @@
 /// address in `discovery` and the features of `side`. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
     config: Config,
-    side: Side,
+    mut side: Side,
     listener: TcpListener,
     mut discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) {
     let trail = side.trail.clone();
     let driver = driver::Handle::start(Rc::new(config), side.hooks());
+    let _dumps = side.dumps.map(|dumps| upstream::spawn(dumps.serve(driver.clone())));
     let _status = side.status.map(|page| upstream::spawn(page.serve(driver.clone())));
     let moving = driver.clone();
     let _moving = upstream::spawn(async move {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 use nettleworks::audit::{self, Actor, Verdict};
+use nettleworks::capture::replay::{self, Line, Report};
 use nettleworks::config::Config;
 use nettleworks::features::Features;
 use nettleworks::server;
@@ -17,13 +18,15 @@
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
-const USAGE: &str = "usage: flaxhead [FILE.ini] | flaxhead audit-verify FILE [--from-hash HASH]";
+const USAGE: &str = "usage: flaxhead [FILE.ini] | flaxhead audit-verify FILE [--from-hash HASH] | \
+                     flaxhead replay FILE [--force]";
 
 fn main() -> ExitCode {
     let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
     let done = match arguments.as_slice() {
         [] => start(Features::default()),
         [command, rest @ ..] if command == "audit-verify" => return verify(rest),
+        [command, rest @ ..] if command == "replay" => return replay(rest),
         [file] => Features::load(Path::new(file)).and_then(start),
         _ => Err(USAGE.to_owned()),
     };
@@ -63,6 +66,28 @@
     }
 }
 
+/// Replays what capture wrote: 0 where nothing differs, 1 where something does, 2 where it cannot be replayed.
+fn replay(arguments: &[OsString]) -> ExitCode {
+    let (file, force) = match arguments {
+        [file] => (file, false),
+        [file, option] | [option, file] if option == "--force" => (file, true),
+        _ => return unusable(USAGE),
+    };
+    let mut print = |line| match line {
+        Line::Difference(text) => drop(say(&text, ExitCode::SUCCESS)),
+        Line::Warning(text) => complain(&format!("warning: {text}")),
+    };
+    match replay::replay(Path::new(file), force, &mut print) {
+        Ok(Report { files, events, decisions, differences, .. }) => {
+            let code = if differences > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS };
+            let line =
+                format!("{files} files, {events} events, {decisions} decisions, {differences} differences");
+            say(&line, code)
+        }
+        Err(reason) => unusable(&reason),
+    }
+}
+
 fn unusable(reason: &str) -> ExitCode {
     complain(reason);
     ExitCode::from(2)
--- a/proxy/src/output.rs
+++ b/proxy/src/output.rs
@@ -65,13 +65,15 @@
     }
 }
 
-/// Writes whole lines from a thread that may wait for a place in the queue.
-pub fn put_waiting(lines: String) {
-    match THREAD.get() {
-        None => write(&lines),
+/// Writes whole lines, from a thread that may wait until that is done.
+pub fn put_and_wait(lines: String) {
+    let Some(queue) = THREAD.get() else { return write(&lines) };
+    let (done, written) = oneshot::channel();
+    for item in [Item::Lines(lines), Item::Mark(done)] {
         // The thread lives as long as the process.
-        Some(queue) => drop(queue.items.blocking_send(Item::Lines(lines))),
+        let _ = queue.items.blocking_send(item);
     }
+    let _ = written.blocking_recv();
 }
 
 /// Waits until all that is queued is written, or for so long.
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -165,10 +165,11 @@
         (_, "/api") => match take_in(&driver, request, arrived).await {
             Ok((ask, forward)) => {
                 proper.set(true);
-                match driver.request(ask, forward).reply().await {
-                    Reply::Served(answer) => served(answer),
-                    Reply::Refused(after) => refused(after),
-                    Reply::Failed => plain(StatusCode::BAD_GATEWAY),
+                let reply = driver.request(ask, forward).reply().await;
+                match (reply.code(), reply) {
+                    (_, Reply::Served(answer)) => served(answer),
+                    (code, Reply::Refused(after)) => refused(code, after),
+                    (code, Reply::Failed) => plain(code),
                 }
             }
             Err(status) => plain(status),
@@ -251,8 +252,8 @@
     Response::from_parts(head, Full::new(body))
 }
 
-fn refused(after: Duration) -> Answer {
-    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
+fn refused(code: StatusCode, after: Duration) -> Answer {
+    let mut answer = plain(code);
     let seconds = format!("{:.3}", after.as_secs_f64());
     answer
         .headers_mut()
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -1,12 +1,15 @@
 //! The features that are switched on, opened before the proxy serves: what cannot be opened ends the start.
 
 use crate::audit::Trail;
+use crate::capture::{Dumps, Recorder};
 use crate::config::Config;
 use crate::driver::Hooks;
 use crate::features::Features;
 use crate::status::{Board, Page};
 use crate::{output, server};
+use std::fs;
 use std::net::SocketAddr;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// What is on.
 #[derive(Debug, Default)]
@@ -15,6 +18,10 @@
     pub status: Option<Page>,
     /// The audit trail.
     pub trail: Option<Trail>,
+    /// Capture's ring.
+    pub recorder: Option<Recorder>,
+    /// What writes it out.
+    pub dumps: Option<Dumps>,
 }
 
 impl Side {
@@ -28,22 +35,35 @@
             Ok::<_, String>(Page::new(listener, refresh))
         });
         let status = status.transpose()?;
-        if features.audit.as_ref().is_some_and(|audit| audit.dir.is_none()) {
+        let (audit, capture) = (features.audit.as_ref(), features.capture.as_ref());
+        if audit.is_some_and(|audit| audit.dir.is_none())
+            || capture.is_some_and(|capture| capture.dir.is_none())
+        {
             output::start().map_err(|e| e.to_string())?;
         }
-        let trail = features.audit.as_ref().map(Trail::open).transpose()?;
-        let side = Side { status, trail };
+        let trail = audit.map(Trail::open).transpose()?;
+        let dumps = capture.map(|capture| {
+            if let Some(dir) = &capture.dir {
+                fs::create_dir_all(dir).map_err(|e| format!("[capture] {}: {e}", dir.display()))?;
+            }
+            let asked = signal(SignalKind::user_defined1()).map_err(|e| format!("[capture] {e}"))?;
+            Ok::<_, String>(Dumps::new(asked, capture.dir.clone()))
+        });
+        let recorder = capture.map(|capture| Recorder::new(capture, config.seed));
+        let side = Side { status, trail, recorder, dumps: dumps.transpose()? };
         config.side_descriptors = side.descriptors();
         Ok(side)
     }
 
     fn descriptors(&self) -> usize {
         let status = self.status.as_ref().map_or(0, |_| Page::DESCRIPTORS);
-        status + self.trail.as_ref().map_or(0, |_| Trail::DESCRIPTORS)
+        let trail = self.trail.as_ref().map_or(0, |_| Trail::DESCRIPTORS);
+        status + trail + self.dumps.as_ref().map_or(0, Dumps::descriptors)
     }
 
     /// What the driver tells the features.
-    pub fn hooks(&self) -> Hooks {
-        Hooks { board: self.status.as_ref().map(|_| Board::default()), trail: self.trail.clone() }
+    pub fn hooks(&mut self) -> Hooks {
+        let capture = self.recorder.take();
+        Hooks { board: self.status.as_ref().map(|_| Board::default()), trail: self.trail.clone(), capture }
     }
 }
--- a/proxy/tests/audit.rs
+++ b/proxy/tests/audit.rs
@@ -4,18 +4,10 @@
 
 use common::*;
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::Command;
 use std::slice::from_ref;
 
-/// A folder of its own for each test.
-fn folder(name: &str) -> PathBuf {
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = fs::remove_dir_all(&path);
-    fs::create_dir_all(&path).expect("made");
-    path
-}
-
 fn verify(file: &Path, more: &[&str]) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_flaxhead"));
     let output = command.arg("audit-verify").arg(file).args(more).output().expect("it runs");
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
@@ -354,7 +355,7 @@
 }
 
 /// The program, with a configuration that is written to a file of this name.
-pub fn program(config: &str, name: &str) -> (Command, std::path::PathBuf) {
+pub fn program(config: &str, name: &str) -> (Command, PathBuf) {
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_flaxhead"));
@@ -389,3 +390,11 @@
         }
     }
 }
+
+/// A folder of its own for each test.
+pub fn folder(name: &str) -> PathBuf {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).expect("made");
+    path
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -1,34 +1,36 @@
 //! The interface of the decision module: settings, events, actions. Times are whole microseconds.
 
+use serde::{Deserialize, Serialize};
+
 /// A moment or a span, in microseconds.
 pub type Micros = u64;
 
 /// A call (one try of a client), as the proxy numbers it; no number returns.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId(pub u64);
 
 /// A server (a process's place); it keeps its number when the process restarts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerId(pub u32);
 
 /// Place of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClassId(pub usize);
 
 /// Place of a tenant in [`Settings::tenants`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TenantId(pub usize);
 
 /// A zone, numbered by the proxy.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ZoneId(pub u32);
 
 /// A cell of servers that drop each other's repeats.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellId(pub u32);
 
 /// Which servers drop repeats of a guarded call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
     /// All of them.
     All,
@@ -39,7 +41,7 @@
 }
 
 /// Whether a call of a class may run again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// Harmless.
     Free,
@@ -55,7 +57,7 @@
 }
 
 /// What is asked of a class of calls.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Micros,
@@ -77,14 +79,14 @@
 }
 
 /// A tenant's part of the service.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Share of the service, 0 to 1.
     pub share: f64,
 }
 
 /// What the site allows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Attempts may be called off.
     pub cancel: bool,
@@ -99,7 +101,7 @@
 }
 
 /// Figures of the rules that must hold.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// A server starts at this share of its capacity or more.
     pub cold_share: f64,
@@ -110,7 +112,7 @@
 }
 
 /// Weights of the parts of the goal.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Goal {
     /// All calls together.
     pub whole: f64,
@@ -119,7 +121,7 @@
 }
 
 /// What a balancer is told at start, for good.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// How many balancers send to these servers, this one included.
     pub balancers: u32,
@@ -166,7 +168,7 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It takes calls.
     #[default]
@@ -178,7 +180,7 @@
 }
 
 /// An entry of the server list.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     /// Which server.
     pub server: ServerId,
@@ -195,7 +197,7 @@
 }
 
 /// How much of the list a piece of news holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ListKind {
     /// Changed entries only.
     Delta,
@@ -208,7 +210,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Served,
@@ -238,7 +240,7 @@
 }
 
 /// A server's word on its load; what it does not report is absent.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests in hand.
     pub in_hand: Option<f64>,
@@ -249,7 +251,7 @@
 }
 
 /// What the proxy tells the balancer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Event {
     /// The proxy comes up. Its saved list, if any, comes next.
     Start,
@@ -314,7 +316,7 @@
 }
 
 /// What the balancer tells the proxy to do.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Pass the call to a server; the first pass is attempt 0, the next 1, and so on.
     Send {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,8 +8,11 @@
 use crate::state::{Attempt, Call, Pace, Route, Trial, Way};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod restore;
+
 // Constants. Spans are ratios to the settings' aims or to observed answer times.
 
 /// Most steps of a budget: A105's default for its connections.
@@ -71,7 +74,7 @@
 type Actions = Vec<Action>;
 
 /// Per-server in-flight budget: steps x concurrency, grown one served trial at a time under a shared backoff.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Budget {
     steps: u32,
     concurrency: f64,
@@ -124,7 +127,7 @@
 /// The budget of all servers together, where one server's would be far under a call: a thousand balancers at
 /// a call each would crowd it, and each meets it too seldom to learn what it takes. It bounds the mean number
 /// in flight; its trial and its backoff are shared by all servers.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Pool {
     budget: Budget,
     up: f64,
@@ -177,7 +180,7 @@
 }
 
 /// A server as this balancer sees it.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Server {
     id: ServerId,
     zone: ZoneId,
@@ -315,8 +318,10 @@
 }
 
 /// Decides for one client proxy.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Balancer {
+    /// Told anew where the rest is restored.
+    #[serde(skip)]
     settings: Settings,
     random: Pcg32,
     servers: Vec<Server>,
--- /dev/null
+++ b/src/bounds.rs
@@ -0,0 +1,33 @@
+//! What a record of settings and events may hold: with longer times the module's sums could overflow.
+
+use crate::api::*;
+
+/// Longest span that a record may name: about fifty days.
+pub(crate) const SPAN_MOST: Micros = 1 << 42;
+/// Latest moment that a record may name: more than ten thousand years after 1970.
+pub(crate) const MOMENT_MOST: Micros = 1 << 60;
+
+/// Whether an event, at its time, can be fed to a balancer: a proxy names no such times, a damaged record may.
+pub fn bounded(now: Micros, event: &Event) -> bool {
+    let span = match event {
+        Event::Request { time_left, .. } => *time_left,
+        Event::Outcome { elapsed, .. } => *elapsed,
+        _ => 0,
+    };
+    now <= MOMENT_MOST && span <= SPAN_MOST
+}
+
+impl Settings {
+    /// Whether a balancer can be told these.
+    pub fn bounded(&self) -> bool {
+        let class = |class: &Class| {
+            let window = match class.repeat {
+                Repeat::Guarded { window, .. } => window,
+                Repeat::Free | Repeat::SingleShot => 0,
+            };
+            class.aim.max(class.deadline).max(window) <= SPAN_MOST
+        };
+        let rules = self.rules.cold_time.max(self.rules.ask_every);
+        self.classes.iter().all(class) && self.tick.max(self.limits.max_retry_after).max(rules) <= SPAN_MOST
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,11 +27,13 @@
 
 mod api;
 mod balance;
+mod bounds;
 mod state;
 mod words;
 
 pub use api::*;
 pub use balance::Balancer;
+pub use bounds::bounded;
 
 /// The README's example is compiled as a test too.
 #[cfg(doctest)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,10 @@
 //! What the decision module keeps of calls and attempts: types and look-ups, every decision is in `balance.rs`.
 
 use crate::api::*;
+use serde::{Deserialize, Serialize};
 
 /// Which budget a trial call may raise: its server's, or the one that all servers share.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Trial {
     No,
     Server,
@@ -11,7 +12,7 @@
 }
 
 /// An attempt, as it was sent and as it ended.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Attempt {
     pub(crate) server: ServerId,
     pub(crate) started: Micros,
@@ -25,7 +26,7 @@
 }
 
 /// A call from its arrival until it has ended and no attempt is out.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Call {
     pub(crate) class: Class,
     pub(crate) class_id: usize,
@@ -54,14 +55,14 @@
 }
 
 /// The way to a zone and back: the least time that an answer from there has lately taken.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Way {
     pub(crate) least: Option<f64>,
     pub(crate) at: Micros,
 }
 
 /// Answer times of a class: the present mean and the least it has been, which stands for an unloaded server.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Pace {
     pub(crate) mean: f64,
     pub(crate) base: f64,
