--- a/proxy/src/capture.rs
+++ b/proxy/src/capture.rs
@@ -214,11 +214,10 @@
 pub struct Recorder {
     seed: u64,
     origin: Micros,
-    files: usize,
     file_bytes: usize,
     ring: VecDeque<Ringed>,
-    /// A buffer that is in no file.
-    spare: Option<Vec<u8>>,
+    /// Buffers that are in no file.
+    spare: Vec<Vec<u8>>,
     next: u64,
     /// The last file of the ring takes more.
     open: bool,
@@ -235,10 +234,10 @@
         Recorder {
             seed,
             origin: 0,
-            files,
             file_bytes,
             ring: VecDeque::with_capacity(files),
-            spare: None,
+            // Written to at once: memory that only grows as the ring fills would look like a leak.
+            spare: vec![vec![u8::MAX; file_bytes]; files],
             next: 0,
             open: false,
             step: None,
@@ -265,9 +264,8 @@
         if self.next == 0 {
             self.origin = now;
         }
-        let oldest = if self.ring.len() == self.files { self.ring.pop_front() } else { None };
-        let bytes = self.spare.take().or(oldest.map(|file| file.bytes));
-        let bytes = bytes.unwrap_or_else(|| vec![0; self.file_bytes]);
+        let bytes = self.spare.pop().or_else(|| self.ring.pop_front().map(|oldest| oldest.bytes));
+        let Some(bytes) = bytes else { return };
         let mut file = Ringed { number: self.next, bytes, length: SEED };
         file.bytes[..SEED].copy_from_slice(&self.seed.to_be_bytes());
         let opening = Opening {
@@ -291,7 +289,7 @@
                 );
             }
             self.retry_at = now + RETRY;
-            self.spare = Some(file.bytes);
+            self.spare.push(file.bytes);
         }
     }
 
@@ -336,6 +334,7 @@
     fn copy(&self, number: u64, into: &mut Vec<u8>) -> Option<String> {
         let file = self.ring.iter().find(|file| file.number == number)?;
         into.clear();
+        into.reserve_exact(self.file_bytes + LENGTH);
         into.extend_from_slice(&file.bytes[..file.length]);
         into.extend_from_slice(&[0; LENGTH]);
         Some(format!("capture-{}-{number:06}.cap", self.origin / 1_000))
