--- /dev/null
+++ b/proxy/src/access.rs
@@ -0,0 +1,233 @@
+//! Address lists: whom a connection is from, by its peer or by the PROXY header of a trusted front, and whether it
+//! may come. What is allowed the module's crate says ([`ochrepond::Access`]).
+
+use crate::features::{Problem, Section};
+use ochrepond::{Access, Admission};
+use ppp::{v1, v2};
+use std::io::Cursor;
+use std::net::IpAddr;
+use tokio::io::{join, AsyncRead, AsyncReadExt, AsyncWrite};
+use tokio::net::TcpStream;
+
+/// What the headers begin with.
+const V1: &[u8] = b"PROXY ";
+const V2: &[u8] = b"\r\n\r\n\0\r\nQUIT\n";
+/// Longest header of version 1, its end of line included.
+const V1_MOST: usize = 107;
+/// Bytes of version 2 before its addresses, and most bytes that are read of a header.
+const V2_HEAD: usize = 16;
+const V2_MOST: usize = 4 << 10;
+
+/// Takes the lists from the section.
+pub fn read(section: &mut Section) -> Result<Access, Problem> {
+    Ok(Access {
+        allow: section.take("allow")?.unwrap_or_default(),
+        deny: section.take("deny")?.unwrap_or_default(),
+        proxy_from: section.take("proxy_from")?.unwrap_or_default(),
+    })
+}
+
+/// A connection that may come: its client's true address, and its stream from the first byte of its first
+/// request on.
+pub struct Admitted<S> {
+    /// Where the client is.
+    pub client: IpAddr,
+    /// What it sends.
+    pub stream: S,
+}
+
+/// Reads how a connection of `peer` begins, and says who it is from or why it is closed, and whose it is.
+pub async fn admit(
+    access: &Access,
+    mut stream: TcpStream,
+    peer: IpAddr,
+) -> Result<Admitted<impl AsyncRead + AsyncWrite + Unpin>, (IpAddr, &'static str)> {
+    let front = access.peer(peer) == Admission::Front;
+    let mut bytes = Vec::new();
+    let (client, header) = loop {
+        match begin(&bytes) {
+            Begin::Unsure => {}
+            Begin::Request if front => return Err((peer, "a front must begin with a PROXY header")),
+            Begin::Request => break (peer, 0),
+            Begin::Part | Begin::Header { .. } | Begin::Bad if !front => {
+                return Err((peer, "it began with a PROXY header and is no trusted front"));
+            }
+            Begin::Part => {}
+            Begin::Header { client, length } => {
+                let client = client.map_or(peer, |client| client.to_canonical());
+                if !access.admits(client) {
+                    return Err((client, "not allowed"));
+                }
+                break (client, length);
+            }
+            Begin::Bad => return Err((peer, "its PROXY header is malformed")),
+        }
+        match stream.read_buf(&mut bytes).await {
+            Ok(0) | Err(_) if front || bytes.is_empty() => return Err((peer, "it ended before a request")),
+            // Whatever that is, the server answers it.
+            Ok(0) | Err(_) => break (peer, 0),
+            Ok(_) => {}
+        }
+    };
+    bytes.drain(..header);
+    let (rest, write) = stream.into_split();
+    Ok(Admitted { client, stream: join(Cursor::new(bytes).chain(rest), write) })
+}
+
+/// What a connection's first bytes are.
+#[derive(Debug, PartialEq)]
+enum Begin {
+    /// More must come before that can be told.
+    Unsure,
+    /// A part of a PROXY header.
+    Part,
+    /// No PROXY header.
+    Request,
+    /// A whole header, and whom it names; `None`: nobody, so that the peer stands for itself.
+    Header { client: Option<IpAddr>, length: usize },
+    /// A PROXY header that no header goes on like.
+    Bad,
+}
+
+fn begin(bytes: &[u8]) -> Begin {
+    if bytes.starts_with(V1) {
+        return begin_v1(bytes);
+    }
+    if bytes.starts_with(V2) {
+        return begin_v2(bytes);
+    }
+    if V1.starts_with(bytes) || V2.starts_with(bytes) {
+        return Begin::Unsure;
+    }
+    Begin::Request
+}
+
+fn begin_v1(bytes: &[u8]) -> Begin {
+    let line = &bytes[..bytes.len().min(V1_MOST)];
+    let Some(end) = line.windows(2).position(|pair| pair == b"\r\n") else {
+        return if line.len() < V1_MOST { Begin::Part } else { Begin::Bad };
+    };
+    let (line, length) = (&line[..end + 2], end + 2);
+    // Whatever follows that word up to the line's end says nothing.
+    if line.strip_prefix(b"PROXY UNKNOWN").is_some_and(|rest| rest.starts_with(b" ") || rest == b"\r\n") {
+        return Begin::Header { client: None, length };
+    }
+    match v1::Header::try_from(line).map(|header| header.addresses) {
+        Ok(v1::Addresses::Tcp4(ip)) => Begin::Header { client: Some(ip.source_address.into()), length },
+        Ok(v1::Addresses::Tcp6(ip)) => Begin::Header { client: Some(ip.source_address.into()), length },
+        Ok(v1::Addresses::Unknown) => Begin::Header { client: None, length },
+        Err(_) => Begin::Bad,
+    }
+}
+
+fn begin_v2(bytes: &[u8]) -> Begin {
+    let Some((&[.., command, _, high, low], _)) = bytes.split_first_chunk::<V2_HEAD>() else {
+        return Begin::Part;
+    };
+    let length = V2_HEAD + usize::from(u16::from_be_bytes([high, low]));
+    if length > V2_MOST {
+        return Begin::Bad;
+    }
+    let Some(header) = bytes.get(..length) else { return Begin::Part };
+    // A front's own connection: what else the header holds does not count.
+    if command == v2::Version::Two as u8 | v2::Command::Local as u8 {
+        return Begin::Header { client: None, length };
+    }
+    match v2::Header::try_from(header).map(|header| header.addresses) {
+        Ok(v2::Addresses::IPv4(ip)) => Begin::Header { client: Some(ip.source_address.into()), length },
+        Ok(v2::Addresses::IPv6(ip)) => Begin::Header { client: Some(ip.source_address.into()), length },
+        Ok(v2::Addresses::Unspecified | v2::Addresses::Unix(_)) => Begin::Header { client: None, length },
+        Err(_) => Begin::Bad,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn v2(command: u8, family: u8, payload: &[u8]) -> Vec<u8> {
+        let length = (payload.len() as u16).to_be_bytes();
+        [V2, &[command, family], &length, payload].concat()
+    }
+
+    fn ip(text: &str) -> Option<IpAddr> {
+        Some(text.parse().expect(text))
+    }
+
+    /// The headers that are understood, with whom they name.
+    fn headers() -> Vec<(Vec<u8>, Option<IpAddr>)> {
+        let v4 = [&[10, 8, 3, 4, 10, 0, 0, 1][..], &[0x9c, 0x40, 0x0b, 0xb8]].concat();
+        let mut v6 = vec![0; 36];
+        (v6[0], v6[3], v6[15]) = (0xfd, 0x12, 1);
+        let mut mapped = vec![0; 36];
+        mapped[10..16].copy_from_slice(&[0xff, 0xff, 10, 8, 3, 4]);
+        let tlvs = [&v4[..], &[0x04, 0, 3, 1, 2, 3, 0x20, 0, 1, 9]].concat();
+        vec![
+            (b"PROXY TCP4 10.8.3.4 10.0.0.1 40000 3000\r\n".to_vec(), ip("10.8.3.4")),
+            (b"PROXY TCP6 fd00:12::1 fd00::1 40000 3000\r\n".to_vec(), ip("fd00:12::1")),
+            (b"PROXY TCP6 ::ffff:10.8.3.4 ::1 40000 3000\r\n".to_vec(), ip("::ffff:10.8.3.4")),
+            (b"PROXY UNKNOWN\r\n".to_vec(), None),
+            (b"PROXY UNKNOWN ffff::1 ffff::2 65535 65535 and more words\r\n".to_vec(), None),
+            (v2(0x21, 0x11, &v4), ip("10.8.3.4")),
+            (v2(0x21, 0x12, &v4), ip("10.8.3.4")),
+            (v2(0x21, 0x11, &tlvs), ip("10.8.3.4")),
+            (v2(0x21, 0x21, &v6), ip("fd00:12::1")),
+            (v2(0x21, 0x21, &mapped), ip("::ffff:10.8.3.4")),
+            (v2(0x21, 0x31, &[7; 216]), None),
+            (v2(0x21, 0x31, &[7; 220]), None),
+            (v2(0x21, 0x00, &[]), None),
+            (v2(0x20, 0x00, &[]), None),
+            (v2(0x20, 0x11, &v4), None),
+            (v2(0x20, 0x11, &[]), None),
+        ]
+    }
+
+    #[test]
+    fn a_header_is_understood_in_pieces_and_what_follows_is_left_alone() {
+        for (header, client) in headers() {
+            for length in 0..header.len() {
+                let part = if header.starts_with(V1) { length >= V1.len() } else { length >= V2.len() };
+                let part = if part { Begin::Part } else { Begin::Unsure };
+                assert_eq!(begin(&header[..length]), part, "{length} of {header:?}");
+            }
+            let more = [&header[..], b"GET /api HTTP/1.1\r\n\r\n"].concat();
+            let whole = Begin::Header { client, length: header.len() };
+            assert_eq!(begin(&more), whole, "{header:?}");
+        }
+    }
+
+    #[test]
+    fn what_is_no_header_is_a_request_and_what_is_a_broken_one_is_bad() {
+        for request in ["GET /", "POST /api", "PUT ", "PRO ", "PROXYING", "\r\nGET", "x"] {
+            assert_eq!(begin(request.as_bytes()), Begin::Request, "{request}");
+        }
+        let long = format!("PROXY TCP4 {}\r\n", "1".repeat(V1_MOST));
+        let lines = [
+            &long,
+            "PROXY TCP4 10.8.3.4 10.0.0.1 40000\r\n",
+            "PROXY TCP4 10.8.3.400 10.0.0.1 40000 3000\r\n",
+            "PROXY TCP4 fd00::1 fd00::2 40000 3000\r\n",
+            "PROXY TCP4 10.8.3.4 10.0.0.1 40000 70000\r\n",
+            "PROXY TCP5 10.8.3.4 10.0.0.1 40000 3000\r\n",
+            "PROXY UNKNOWNS\r\n",
+            "PROXY \r\n",
+            "PROXY TCP4 10.8.3.4 10.0.0.1 40000 3000\rX\r\n",
+        ];
+        for line in lines {
+            assert_eq!(begin(line.as_bytes()), Begin::Bad, "{line}");
+        }
+        let bad = [
+            v2(0x11, 0x11, &[0; 12]),
+            v2(0x22, 0x11, &[0; 12]),
+            v2(0x21, 0x11, &[0; 11]),
+            v2(0x21, 0x21, &[0; 35]),
+            v2(0x21, 0x31, &[0; 215]),
+            v2(0x21, 0x41, &[0; 12]),
+            v2(0x21, 0x13, &[0; 12]),
+            v2(0x21, 0x11, &[0; V2_MOST]),
+        ];
+        for header in bad {
+            assert_eq!(begin(&header), Begin::Bad, "{:?}", &header[..V2_HEAD]);
+        }
+    }
+}
--- a/proxy/src/features.rs
+++ b/proxy/src/features.rs
@@ -1,8 +1,9 @@
 //! The operators' own file: an INI file that switches features on, beside the platform's configuration. It is
 //! read at start only, and whatever in it is not understood ends the start.
 
-use crate::{audit, capture, status};
+use crate::{access, audit, capture, status};
 use ini_core::{Item, Parser};
+use ochrepond::Access;
 use std::fmt::Display;
 use std::path::Path;
 use std::str::FromStr;
@@ -16,6 +17,8 @@
     pub audit: Option<audit::Settings>,
     /// Capture.
     pub capture: Option<capture::Settings>,
+    /// Address lists.
+    pub access: Option<Access>,
 }
 
 /// What is wrong with the file, and in which line.
@@ -97,6 +100,7 @@
                 "status" => features.status = Some(status::Settings::read(&mut section)?),
                 "audit" => features.audit = Some(audit::Settings::read(&mut section)?),
                 "capture" => features.capture = Some(capture::Settings::read(&mut section)?),
+                "access" => features.access = Some(access::read(&mut section)?),
                 name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
             }
             section.finish()?;
@@ -178,6 +182,11 @@
             ("[capture]\nfiles = 1\n", 2, "files = 1: at least 2"),
             ("\n[capture]\nfile_kb = 200\n", 2, "4 files of 200 KiB"),
             ("[capture]\nfile_kb = 18446744073709551615\n", 1, "pass 1 MB"),
+            (
+                "[access]\nallow =\ndeny = 10.0.0.0/40\n",
+                3,
+                "\"10.0.0.0/40\" is neither an address nor a CIDR",
+            ),
             ("[s]\n[t]\n[s]\n", 3, "[s] stands there twice"),
         ];
         for (text, line, reason) in cases {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod access;
 pub mod audit;
 pub mod capture;
 pub mod config;
@@ -29,7 +30,7 @@
 
 /// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
 pub fn log(line: &str) {
-    output::put(format!("flaxhead: {line}\n"));
+    output::line(line, None);
 }
 
 /// Serves until `stop` is done and all that was taken is answered, with the list that is watched at the last
@@ -51,7 +52,7 @@
             moving.watch_at(*discovery.borrow_and_update());
         }
     });
-    server::serve(listener, driver.clone(), stop).await;
+    server::serve(listener, driver.clone(), side.access, stop).await;
     driver.log_counts();
     if let Some(trail) = trail {
         trail.close().await;
--- a/proxy/src/output.rs
+++ b/proxy/src/output.rs
@@ -2,7 +2,8 @@
 //! lines: a pipe that nobody reads must not delay them.
 
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::net::IpAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
@@ -42,7 +43,7 @@
             }
             let dropped = THREAD.get().map_or(0, |queue| queue.dropped.swap(0, Ordering::Relaxed));
             if dropped > 0 {
-                write(&format!("flaxhead: {dropped} lines dropped\n"));
+                write(&format(&format!("{dropped} lines dropped"), None));
             }
         }
     })?;
@@ -54,6 +55,27 @@
     let _ = io::stderr().write_all(lines.as_bytes());
 }
 
+/// Lines name the client that they are about.
+static CLIENTS: AtomicBool = AtomicBool::new(false);
+
+/// Has every line name its client from now on, or say that it is about none.
+pub fn name_clients() {
+    CLIENTS.store(true, Ordering::Relaxed);
+}
+
+/// Writes a line to the log.
+pub fn line(text: &str, client: Option<IpAddr>) {
+    put(format(text, client));
+}
+
+fn format(text: &str, client: Option<IpAddr>) -> String {
+    match client {
+        _ if !CLIENTS.load(Ordering::Relaxed) => format!("flaxhead: {text}\n"),
+        Some(client) => format!("flaxhead: {text} client={client}\n"),
+        None => format!("flaxhead: {text} client=-\n"),
+    }
+}
+
 /// Writes whole lines, or queues them; never waits for the thread.
 pub fn put(lines: String) {
     match THREAD.get() {
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,7 +1,9 @@
 //! The application's side: takes requests in and gives each its one answer.
 
+use crate::access::{self, Admitted};
 use crate::driver::{Ask, Forward, Handle, Reply};
 use crate::log;
+use crate::output;
 use crate::upstream::{BODY_MOST, HEAD_MOST};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
@@ -9,16 +11,17 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use ochrepond::{ClassId, Repeat, TenantId};
+use hyper_util::server::graceful::{GracefulShutdown, Watcher};
+use ochrepond::{Access, Admission, ClassId, Repeat, TenantId};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
@@ -51,9 +54,15 @@
 }
 
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
-/// between requests and returns when none is left.
-pub async fn serve(listener: TcpListener, driver: Handle, stop: impl Future<Output = ()>) {
-    let mut clients = Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new() };
+/// between requests and returns when none is left. Whom it serves `access` says, if the operators do.
+pub async fn serve(
+    listener: TcpListener,
+    driver: Handle,
+    access: Option<Access>,
+    stop: impl Future<Output = ()>,
+) {
+    let access = access.map(Rc::new);
+    let mut clients = Clients { driver, access, graceful: GracefulShutdown::new(), open: Vec::new() };
     let mut stop = pin!(async {
         stop.await;
         sleep(STOP_DELAY).await;
@@ -65,7 +74,7 @@
         }
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => clients.serve(stream),
+                Ok((stream, peer)) => clients.serve(stream, peer.ip()),
                 Err(error) => {
                     log(&format!("accept: {error}"));
                     sleep(ACCEPT_PAUSE).await;
@@ -76,8 +85,8 @@
     }
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.has_room() {
-        let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await else { break };
-        clients.serve(stream);
+        let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await else { break };
+        clients.serve(stream, peer.ip());
     }
     drop(listener);
     // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
@@ -93,6 +102,7 @@
 /// The connections of clients.
 struct Clients {
     driver: Handle,
+    access: Option<Rc<Access>>,
     graceful: GracefulShutdown,
     open: Vec<Client>,
 }
@@ -117,15 +127,60 @@
         self.open.len() < self.driver.config().connections_each_way()
     }
 
-    fn serve(&mut self, stream: TcpStream) {
+    fn serve(&mut self, stream: TcpStream, peer: IpAddr) {
+        let (peer, access) = (peer.to_canonical(), self.access.clone());
+        if access.as_ref().is_some_and(|access| access.peer(peer) == Admission::Close) {
+            return output::line("closed: not allowed", Some(peer));
+        }
         if let Err(error) = stream.set_nodelay(true) {
             log(&format!("nodelay: {error}"));
         }
         let idle = Rc::new(Cell::new(Some(Instant::now())));
+        let conversation = Conversation {
+            driver: self.driver.clone(),
+            idle: idle.clone(),
+            watcher: self.graceful.watcher(),
+            first_due: Instant::now() + FIRST_TIME,
+        };
+        let task = spawn_local(async move {
+            match access {
+                None => conversation.hold(stream).await,
+                Some(access) => conversation.begin(&access, stream, peer).await,
+            }
+        });
+        self.open.push(Client { task, idle });
+    }
+}
+
+/// What a client's connection needs to be served.
+struct Conversation {
+    driver: Handle,
+    idle: Rc<Cell<Option<Instant>>>,
+    watcher: Watcher,
+    /// When its first request must have come, whole.
+    first_due: Instant,
+}
+
+impl Conversation {
+    /// Serves a connection if it may come.
+    async fn begin(self, access: &Access, stream: TcpStream, peer: IpAddr) {
+        match timeout_at(self.first_due, access::admit(access, stream, peer)).await {
+            Ok(Ok(Admitted { client, stream })) => {
+                output::line(&format!("connected from {peer}"), Some(client));
+                self.hold(stream).await;
+            }
+            Ok(Err((client, reason))) => output::line(&format!("closed: {reason}"), Some(client)),
+            Err(_) => output::line("closed: it did not begin in time", Some(peer)),
+        }
+    }
+
+    /// Answers what comes on a connection, until it ends.
+    async fn hold(self, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
+        let Conversation { driver, idle, watcher, first_due } = self;
         let proper = Rc::new(Cell::new(false));
-        let (driver, state, first) = (self.driver.clone(), idle.clone(), proper.clone());
+        let first = proper.clone();
         let service = service_fn(move |request| {
-            let (driver, state, first) = (driver.clone(), state.clone(), first.clone());
+            let (driver, state, first) = (driver.clone(), idle.clone(), first.clone());
             async move {
                 state.set(None);
                 let answer = answer(driver, request, &first).await;
@@ -138,16 +193,11 @@
             .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream), service);
-        let connection = self.graceful.watch(connection);
-        let first_due = Instant::now() + FIRST_TIME;
-        let task = spawn_local(async move {
-            // A connection that breaks ends its request's waiting, which tells the module.
-            let mut connection = pin!(connection);
-            if timeout_at(first_due, &mut connection).await.is_err() && proper.get() {
-                let _ = connection.await;
-            }
-        });
-        self.open.push(Client { task, idle });
+        // A connection that breaks ends its request's waiting, which tells the module.
+        let mut connection = pin!(watcher.watch(connection));
+        if timeout_at(first_due, &mut connection).await.is_err() && proper.get() {
+            let _ = connection.await;
+        }
     }
 }
 
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -7,6 +7,7 @@
 use crate::features::Features;
 use crate::status::{Board, Page};
 use crate::{output, server};
+use ochrepond::Access;
 use std::fs;
 use std::net::SocketAddr;
 use tokio::signal::unix::{signal, SignalKind};
@@ -20,6 +21,8 @@
     pub trail: Option<Trail>,
     /// Capture's ring.
     pub recorder: Option<Recorder>,
+    /// Address lists.
+    pub access: Option<Access>,
     /// What writes it out.
     pub dumps: Option<Dumps>,
 }
@@ -36,9 +39,11 @@
         });
         let status = status.transpose()?;
         let (audit, capture) = (features.audit.as_ref(), features.capture.as_ref());
-        if audit.is_some_and(|audit| audit.dir.is_none())
-            || capture.is_some_and(|capture| capture.dir.is_none())
-        {
+        if features.access.is_some() {
+            output::name_clients();
+        }
+        let dumped = capture.is_some_and(|capture| capture.dir.is_none());
+        if features.access.is_some() || dumped || audit.is_some_and(|audit| audit.dir.is_none()) {
             output::start().map_err(|e| e.to_string())?;
         }
         let trail = audit.map(Trail::open).transpose()?;
@@ -50,7 +55,7 @@
             Ok::<_, String>(Dumps::new(asked, capture.dir.clone()))
         });
         let recorder = capture.map(|capture| Recorder::new(capture, config.seed));
-        let side = Side { status, trail, recorder, dumps: dumps.transpose()? };
+        let side = Side { status, trail, recorder, access: features.access, dumps: dumps.transpose()? };
         config.side_descriptors = side.descriptors();
         Ok(side)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,12 +25,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod access;
 mod api;
 mod balance;
 mod bounds;
 mod state;
 mod words;
 
+pub use access::{Access, Admission, Networks};
 pub use api::*;
 pub use balance::Balancer;
 pub use bounds::bounded;
