--- a/proxy/src/capture.rs
+++ b/proxy/src/capture.rs
@@ -41,8 +41,8 @@
 /// What a line of a dump begins with, and the bytes that it stands for.
 const MARK: &str = "CAP ";
 const LINE: usize = 570;
-/// The line before a file's lines.
-const FOLLOWS: &str = "flaxhead: capture: below is ";
+/// What the log says before a file's lines.
+const FOLLOWS: &str = "capture: below is ";
 
 /// What `[capture]` holds.
 #[derive(Clone, Debug, PartialEq)]
@@ -408,7 +408,7 @@
 
 /// One line at a time is on its way, so that the log keeps its place.
 fn write_lines(name: &str, bytes: &[u8]) {
-    output::put_and_wait(format!("{FOLLOWS}{name}\n"));
+    output::put_and_wait(output::format(&format!("{FOLLOWS}{name}"), None));
     for part in bytes.chunks(LINE) {
         output::put_and_wait(format!("{MARK}{}\n", STANDARD.encode(part)));
     }
--- a/proxy/src/capture/replay.rs
+++ b/proxy/src/capture/replay.rs
@@ -70,7 +70,7 @@
     } {
         lines += 1;
         let text = line.trim_ascii_end();
-        if text.starts_with(FOLLOWS.as_bytes()) {
+        if text.strip_prefix(b"flaxhead: ").is_some_and(|text| text.starts_with(FOLLOWS.as_bytes())) {
             pieces.extend(piece.replace(Vec::new()));
         } else if let (Some(text), Some(bytes)) = (text.strip_prefix(MARK.as_bytes()), &mut piece) {
             match STANDARD.decode(text) {
--- a/proxy/src/output.rs
+++ b/proxy/src/output.rs
@@ -68,7 +68,8 @@
     put(format(text, client));
 }
 
-fn format(text: &str, client: Option<IpAddr>) -> String {
+/// A line of the log.
+pub fn format(text: &str, client: Option<IpAddr>) -> String {
     match client {
         _ if !CLIENTS.load(Ordering::Relaxed) => format!("flaxhead: {text}\n"),
         Some(client) => format!("flaxhead: {text} client={client}\n"),
--- a/proxy/tests/access.rs
+++ b/proxy/tests/access.rs
@@ -175,9 +175,7 @@
     run(async {
         let host = Host::start([ok("served")]).await;
         let address = free_address();
-        let config = configuration(Discovery::quiet().await.address, from_ref(&host), |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, Discovery::quiet().await.address, from_ref(&host));
         let own = folder("access-log").join("own.ini");
         let text = "[access]\nallow = 127.0.0.1, 10.8.0.0/16\ndeny = 127.0.0.2\nproxy_from = 127.0.0.9\n";
         fs::write(&own, text).expect("written");
--- a/proxy/tests/audit.rs
+++ b/proxy/tests/audit.rs
@@ -19,11 +19,7 @@
     let host = Host::start([ok("served")]).await;
     let (discovery, other) = (Discovery::quiet().await, Discovery::quiet().await);
     let address = free_address();
-    let config = |discovery: &Discovery| {
-        configuration(discovery.address, from_ref(&host), |config| {
-            config["listen"] = address.to_string().into();
-        })
-    };
+    let config = |discovery: &Discovery| configuration_at(address, discovery.address, from_ref(&host));
     let own = folder.join("own.ini");
     fs::write(&own, format!("[audit]\ndir = {}\n", folder.display())).expect("written");
     let (mut command, path) = program(&config(&discovery), &format!("{}.json", address.port()));
@@ -111,9 +107,7 @@
         std::os::unix::fs::symlink("/dev/full", folder.join("audit.jsonl")).expect("linked");
         let host = Host::start([ok("served")]).await;
         let address = free_address();
-        let config = configuration(Discovery::quiet().await.address, from_ref(&host), |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, Discovery::quiet().await.address, from_ref(&host));
         let own = folder.join("own.ini");
         fs::write(&own, format!("[audit]\ndir = {}\n", folder.display())).expect("written");
         let mut child = program(&config, "audit-full.json").0.arg(&own).spawn().expect("it starts");
@@ -135,9 +129,7 @@
         let own = folder.join("own.ini");
         fs::write(&own, "[audit]\n").expect("written");
         let address = free_address();
-        let config = configuration(Discovery::quiet().await.address, &[], |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, Discovery::quiet().await.address, &[]);
         let mut child = program(&config, "audit-stderr.json").0.arg(&own).spawn().expect("it starts");
         drop(connect(address).await);
         tell(&child, "-TERM");
--- a/proxy/tests/capture.rs
+++ b/proxy/tests/capture.rs
@@ -40,9 +40,7 @@
             Host::start([ok("good")]).await,
         ];
         let (hosts, discovery, address) = (hosts.to_vec(), Discovery::quiet().await, free_address());
-        let config = configuration(discovery.address, &hosts, |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, discovery.address, &hosts);
         let own = folder(name);
         fs::write(own.join("own.ini"), format!("[capture]\n{section}\n")).expect("written");
         let (mut command, _) = program(&config, &format!("{name}.json"));
@@ -188,9 +186,7 @@
 fn without_capture_the_signal_is_left_alone() {
     run(async {
         let address = free_address();
-        let config = configuration(Discovery::quiet().await.address, &[], |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, Discovery::quiet().await.address, &[]);
         let mut child = program(&config, "capture-off.json").0.spawn().expect("it starts");
         drop(connect(address).await);
         tell(&child, "-USR1");
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -282,6 +282,11 @@
     config.to_string()
 }
 
+/// The same for a proxy at a given address.
+pub fn configuration_at(address: SocketAddr, discovery: SocketAddr, hosts: &[Host]) -> String {
+    configuration(discovery, hosts, |config| config["listen"] = address.to_string().into())
+}
+
 /// A running proxy.
 pub struct Proxy {
     pub address: SocketAddr,
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -51,9 +51,7 @@
         let host = Host::start([ok("served"), Act::Stall]).await;
         let discovery = Discovery::quiet().await;
         let address = free_address();
-        let config = configuration(discovery.address, from_ref(&host), |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, discovery.address, from_ref(&host));
         let mut child = program(&config, "good.json").0.spawn().expect("it starts");
         let mut client = connect(address).await;
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
@@ -77,11 +75,7 @@
         let (old, new) = (Host::start([ok("old")]).await, Host::start([ok("new")]).await);
         let (first, second) = (Discovery::quiet().await, Discovery::quiet().await);
         let address = free_address();
-        let config = |discovery: &Discovery| {
-            configuration(discovery.address, from_ref(&old), |config| {
-                config["listen"] = address.to_string().into();
-            })
-        };
+        let config = |discovery: &Discovery| configuration_at(address, discovery.address, from_ref(&old));
         let (mut command, path) = program(&config(&first), "moving.json");
         let mut child = command.spawn().expect("it starts");
         let mut client = connect(address).await;
@@ -126,9 +120,7 @@
         let host = Host::start([ok("served")]).await;
         let discovery = Discovery::quiet().await;
         let address = free_address();
-        let config = configuration(discovery.address, from_ref(&host), |config| {
-            config["listen"] = address.to_string().into();
-        });
+        let config = configuration_at(address, discovery.address, from_ref(&host));
         let own = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/flaxhead.ini");
         let mut child = program(&config, "own.json").0.arg(own).spawn().expect("it starts");
         let mut client = connect(address).await;
@@ -138,6 +130,29 @@
     });
 }
 
+/// With no feature on there is nothing beside the one thread that serves, and no port but the proxy's own.
+#[test]
+fn without_a_file_of_ours_nothing_runs_beside_the_proxy() {
+    run(async {
+        let address = free_address();
+        let config = configuration_at(address, Discovery::quiet().await.address, &[]);
+        let empty = folder("process-off").join("empty.ini");
+        std::fs::write(&empty, "; nothing is on\n").expect("written");
+        for file in [None, Some(empty)] {
+            let mut child = program(&config, "off.json").0.args(file).spawn().expect("it starts");
+            assert_eq!(connect(address).await.ask(HEALTH).await.status(), 503, "it has no list");
+            let process = std::path::PathBuf::from(format!("/proc/{}", child.id()));
+            assert_eq!(std::fs::read_dir(process.join("task")).expect("threads").count(), 1);
+            let status = std::fs::read_to_string(process.join("status")).expect("a status");
+            let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:")).expect("signals");
+            let caught = u64::from_str_radix(caught.trim(), 16).expect("a mask");
+            assert_eq!(caught & 1 << (10 - 1), 0, "SIGUSR1 is left alone");
+            tell(&child, "-TERM");
+            assert_eq!(exit_code(&mut child).await, Some(0));
+        }
+    });
+}
+
 /// What is wrong with the operators' own file is said with its name and line before anything is served.
 #[test]
 fn a_broken_file_of_ours_ends_it_with_file_line_and_reason() {
