--- a/proxy/src/capture.rs
+++ b/proxy/src/capture.rs
@@ -62,7 +62,7 @@
             move |number: &usize| if *number < least { Err(format!("at least {least}")) } else { Ok(()) }
         };
         let files = section.take_if("files", least(2))?.unwrap_or(4);
-        let file_kb = section.take_if("file_kb", least(16))?.unwrap_or(192);
+        let file_kb = section.take_if("file_kb", least(8))?.unwrap_or(192);
         let dir = section.take_if("dir", |dir: &PathBuf| named(dir))?;
         let all = files.checked_add(1).and_then(|all| all.checked_mul(file_kb)?.checked_mul(1 << 10));
         if all.is_none_or(|all| all > BUFFERS_MOST) {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -27,6 +27,7 @@
         [] => start(Features::default()),
         [command, rest @ ..] if command == "audit-verify" => return verify(rest),
         [command, rest @ ..] if command == "replay" => return replay(rest),
+        [option] if option.as_encoded_bytes().starts_with(b"-") => return unusable(USAGE),
         [file] => Features::load(Path::new(file)).and_then(start),
         _ => Err(USAGE.to_owned()),
     };
