--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -21,10 +21,10 @@
     pub trail: Option<Trail>,
     /// Capture's ring.
     pub recorder: Option<Recorder>,
-    /// Address lists.
-    pub access: Option<Access>,
     /// What writes it out.
     pub dumps: Option<Dumps>,
+    /// Address lists.
+    pub access: Option<Access>,
 }
 
 impl Side {
@@ -42,8 +42,8 @@
         if features.access.is_some() {
             output::name_clients();
         }
-        let dumped = capture.is_some_and(|capture| capture.dir.is_none());
-        if features.access.is_some() || dumped || audit.is_some_and(|audit| audit.dir.is_none()) {
+        // What these write must not wait for whoever reads it, nor keep the log waiting.
+        if features.access.is_some() || audit.is_some() || capture.is_some() {
             output::start().map_err(|e| e.to_string())?;
         }
         let trail = audit.map(Trail::open).transpose()?;
