Forget a server's slowness once it goes unheard, so that none starves

Need: of two servers that take calls one at a time, one that had answered slowly once got 0 of the next 60,000 calls: all picks were ties, and the tie's figure changed with the server's own answers alone (docs/findings/starved-servers.md). A capture test that waited for such a server ran into its 30 s limit. Change: after 4 s without an answer a server counts as its zone's least, which itself fades over two minutes; ties within 7% are left to the draw.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -70,6 +70,10 @@
 const ZONE_DOUBLINGS: u32 = 3;
 /// Memory of the rate of answers.
 const RATE_MEMORY: f64 = 3e6;
+/// Time without an answer after which what a server showed no longer tells it apart from its zone's best.
+const SHOWN_MEMORY: f64 = 4e6;
+/// Ties this near are left to chance.
+const ALIKE: f64 = 0.93;
 
 type Actions = Vec<Action>;
 
@@ -230,6 +234,18 @@
         self.busy_at = sends;
     }
 
+    /// What its answers lately showed; after a while without one only what its zone's show at the least, and
+    /// that fades. Where nothing is in flight it alone decides: a server that is not tried shows nothing new.
+    fn recent_slowness(&self, now: Micros, way: Option<&Way>) -> f64 {
+        let way = way.map_or(0.0, |way| way.slowness * (1.0 - drift(now, way.at)));
+        let old = now.saturating_sub(self.heard) as f64 >= SHOWN_MEMORY;
+        if old {
+            self.slowness.min(way)
+        } else {
+            self.slowness
+        }
+    }
+
     /// Share of its capacity that a server has at the least, by the rules' cold share and time.
     fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
         let age = now.saturating_sub(self.started);
@@ -298,9 +314,11 @@
 }
 
 impl Way {
-    fn answered(&mut self, now: Micros, elapsed: f64) {
-        let least = self.least.unwrap_or(elapsed);
-        self.least = Some(elapsed.min(least + (elapsed - least) * drift(now, self.at)));
+    fn answered(&mut self, now: Micros, elapsed: f64, slowness: f64) {
+        let (least, slow) = (self.least.unwrap_or(elapsed), self.least.map_or(slowness, |_| self.slowness));
+        let drift = drift(now, self.at);
+        self.least = Some(elapsed.min(least + (elapsed - least) * drift));
+        self.slowness = slowness.min(slow + (slowness - slow) * drift);
         self.at = now;
     }
 }
@@ -571,7 +589,7 @@
         let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
         let way = self.ways.entry(zone).or_default();
         if outcome == Outcome::Served {
-            way.answered(now, elapsed as f64);
+            way.answered(now, elapsed as f64, (elapsed as f64 / limit).min(4.0));
         }
         let far_limit =
             limit.max((way.least.unwrap_or(0.0) * STRAIN_WAY).min(aim * STRAIN_AIM * STRAIN_DEEP));
@@ -778,9 +796,9 @@
             |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
         let (room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
         let trial = if pool_full { Trial::Pool } else { Trial::No };
-        match self.two_choices(&up).filter(|server| room.contains(server)) {
+        match self.two_choices(now, &up).filter(|server| room.contains(server)) {
             Some(server) => Route::Send { server, trial },
-            None => match (self.two_choices(&room), self.two_choices(&trials)) {
+            None => match (self.two_choices(now, &room), self.two_choices(now, &trials)) {
                 (Some(server), _) => Route::Send { server, trial },
                 (None, Some(_)) if pool_full => Route::Hold,
                 (None, Some(server)) => Route::Send { server, trial: Trial::Server },
@@ -804,15 +822,19 @@
     }
 
     /// The less loaded of two random ones by own calls in flight; the recent past breaks ties.
-    fn two_choices(&mut self, among: &[usize]) -> Option<usize> {
+    fn two_choices(&mut self, now: Micros, among: &[usize]) -> Option<usize> {
         let len = among.len() as u64;
         let first = self.below(len);
         let a = *among.get(first as usize)?;
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (sends, per) = (self.sends as f64, self.window() as f64);
-        let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.slowness };
+        let tie = |s: &Server| match self.pool {
+            Some(_) => s.recent_load(sends, per),
+            None => s.recent_slowness(now, self.ways.get(&s.zone)),
+        };
         let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
-        Some(if load(b) < load(a) { b } else { a })
+        let ((calls_a, tie_a), (calls_b, tie_b)) = (load(a), load(b));
+        Some(if calls_b < calls_a || calls_b == calls_a && tie_b < tie_a * ALIKE { b } else { a })
     }
 
     fn send(&mut self, now: Micros, id: CallId, place: usize, trial: Trial, actions: &mut Actions) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -58,6 +58,8 @@
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Way {
     pub(crate) least: Option<f64>,
+    /// The least share of its class's limit that an answer from there has lately taken.
+    pub(crate) slowness: f64,
     pub(crate) at: Micros,
 }
 
