Kill the programs that a failing test has started

Need: a test that ran into its limit left a proxy behind that served for hours. Change: tests start the program as Running, which kills and reaps it when dropped, also by a panic. Measured: a_failing_test_leaves_no_proxy_running panics on purpose and finds nobody listening; without the kill it fails.

--- a/proxy/tests/access.rs
+++ b/proxy/tests/access.rs
@@ -179,7 +179,7 @@
         let own = folder("access-log").join("own.ini");
         let text = "[access]\nallow = 127.0.0.1, 10.8.0.0/16\ndeny = 127.0.0.2\nproxy_from = 127.0.0.9\n";
         fs::write(&own, text).expect("written");
-        let mut child = program(&config, "access-log.json").0.arg(&own).spawn().expect("it starts");
+        let mut child = Running::start(program(&config, "access-log.json").0.arg(&own));
         let mut client = connect(address).await;
         assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
         for (peer, bytes) in [
--- a/proxy/tests/audit.rs
+++ b/proxy/tests/audit.rs
@@ -23,7 +23,7 @@
     let own = folder.join("own.ini");
     fs::write(&own, format!("[audit]\ndir = {}\n", folder.display())).expect("written");
     let (mut command, path) = program(&config(&discovery), &format!("{}.json", address.port()));
-    let mut child = command.arg(&own).spawn().expect("it starts");
+    let mut child = Running::start(command.arg(&own));
     let mut client = connect(address).await;
     assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
     eventually("the list is watched", || discovery.asked.borrow().len() == 1).await;
@@ -110,7 +110,7 @@
         let config = configuration_at(address, Discovery::quiet().await.address, from_ref(&host));
         let own = folder.join("own.ini");
         fs::write(&own, format!("[audit]\ndir = {}\n", folder.display())).expect("written");
-        let mut child = program(&config, "audit-full.json").0.arg(&own).spawn().expect("it starts");
+        let mut child = Running::start(program(&config, "audit-full.json").0.arg(&own));
         let mut client = connect(address).await;
         for _ in 0..10 {
             assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
@@ -130,7 +130,7 @@
         fs::write(&own, "[audit]\n").expect("written");
         let address = free_address();
         let config = configuration_at(address, Discovery::quiet().await.address, &[]);
-        let mut child = program(&config, "audit-stderr.json").0.arg(&own).spawn().expect("it starts");
+        let mut child = Running::start(program(&config, "audit-stderr.json").0.arg(&own));
         drop(connect(address).await);
         tell(&child, "-TERM");
         assert_eq!(exit_code(&mut child).await, Some(0));
--- a/proxy/tests/capture.rs
+++ b/proxy/tests/capture.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
+use std::process::Command;
 use tokio::time::{sleep, Duration};
 
 fn replay(file: &Path, more: &[&str]) -> (Option<i32>, String) {
@@ -17,7 +17,7 @@
 
 /// A proxy with `[capture]`, before hosts that serve, refuse, fail, reset and say nothing.
 struct Captured {
-    child: Child,
+    child: Running,
     client: Client,
     hosts: Vec<Host>,
     discovery: Discovery,
@@ -52,7 +52,7 @@
         let own = folder(name);
         fs::write(own.join("own.ini"), format!("[capture]\n{section}\n")).expect("written");
         let (mut command, _) = program(&config, &format!("{name}.json"));
-        let child = command.arg(own.join("own.ini")).current_dir(&own).spawn().expect("it starts");
+        let child = Running::start(command.arg(own.join("own.ini")).current_dir(&own));
         let client = connect(address).await;
         Captured { child, client, hosts, discovery, own }
     }
@@ -196,7 +196,7 @@
     run(async {
         let address = free_address();
         let config = configuration_at(address, Discovery::quiet().await.address, &[]);
-        let mut child = program(&config, "capture-off.json").0.spawn().expect("it starts");
+        let mut child = Running::start(&mut program(&config, "capture-off.json").0);
         drop(connect(address).await);
         tell(&child, "-USR1");
         assert_eq!(exit_code(&mut child).await, None, "ended by the signal");
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -368,6 +369,37 @@
     (command, path)
 }
 
+/// A running program. A test that fails drops it, and it must not outlive that test.
+pub struct Running(Child);
+
+impl Running {
+    pub fn start(command: &mut Command) -> Running {
+        Running(command.spawn().expect("it starts"))
+    }
+}
+
+impl Deref for Running {
+    type Target = Child;
+
+    fn deref(&self) -> &Child {
+        &self.0
+    }
+}
+
+impl DerefMut for Running {
+    fn deref_mut(&mut self) -> &mut Child {
+        &mut self.0
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        // One that has ended by itself cannot be killed, and need not be.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// A port that was free a moment ago; the program does not tell which it got otherwise.
 pub fn free_address() -> SocketAddr {
     std::net::TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a port")
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -52,7 +52,7 @@
         let discovery = Discovery::quiet().await;
         let address = free_address();
         let config = configuration_at(address, discovery.address, from_ref(&host));
-        let mut child = program(&config, "good.json").0.spawn().expect("it starts");
+        let mut child = Running::start(&mut program(&config, "good.json").0);
         let mut client = connect(address).await;
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
         // Its time is longer than a stop may take: it is dropped, in order.
@@ -77,7 +77,7 @@
         let address = free_address();
         let config = |discovery: &Discovery| configuration_at(address, discovery.address, from_ref(&old));
         let (mut command, path) = program(&config(&first), "moving.json");
-        let mut child = command.spawn().expect("it starts");
+        let mut child = Running::start(&mut command);
         let mut client = connect(address).await;
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"old");
         eventually("the first is watched", || first.asked.borrow().len() == 1).await;
@@ -122,7 +122,7 @@
         let address = free_address();
         let config = configuration_at(address, discovery.address, from_ref(&host));
         let own = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/flaxhead.ini");
-        let mut child = program(&config, "own.json").0.arg(own).spawn().expect("it starts");
+        let mut child = Running::start(program(&config, "own.json").0.arg(own));
         let mut client = connect(address).await;
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
         tell(&child, "-TERM");
@@ -139,7 +139,7 @@
         let empty = folder("process-off").join("empty.ini");
         std::fs::write(&empty, "; nothing is on\n").expect("written");
         for file in [None, Some(empty)] {
-            let mut child = program(&config, "off.json").0.args(file).spawn().expect("it starts");
+            let mut child = Running::start(program(&config, "off.json").0.args(file));
             assert_eq!(connect(address).await.ask(HEALTH).await.status(), 503, "it has no list");
             let process = std::path::PathBuf::from(format!("/proc/{}", child.id()));
             assert_eq!(std::fs::read_dir(process.join("task")).expect("threads").count(), 1);
@@ -173,3 +173,20 @@
     let said = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(!output.status.success() && said.contains("no-such.ini: No such file"), "{said}");
 }
+
+/// A test that fails unwinds: the program that it started must go with it.
+#[test]
+fn a_failing_test_leaves_no_proxy_running() {
+    run(async {
+        let address = free_address();
+        let config = configuration_at(address, Discovery::quiet().await.address, &[]);
+        let running = Running::start(&mut program(&config, "dropped.json").0);
+        drop(connect(address).await);
+        let failing = std::panic::catch_unwind(std::panic::AssertUnwindSafe(move || {
+            let _running = running;
+            std::panic::panic_any("the test fails");
+        }));
+        assert!(failing.is_err());
+        assert!(TcpStream::connect(address).await.is_err(), "nobody listens any more");
+    });
+}
