--- a/src/balance.rs
+++ b/src/balance.rs
@@ -70,8 +70,8 @@
 const ZONE_DOUBLINGS: u32 = 3;
 /// Memory of the rate of answers.
 const RATE_MEMORY: f64 = 3e6;
-/// Time without an answer after which what a server showed no longer tells it apart from its zone's best.
-const SHOWN_MEMORY: f64 = 4e6;
+/// Longest aims without an answer after which what a server showed no longer tells it from its zone's best.
+const SHOWN_AIMS: f64 = 2.0;
 /// Ties this near are left to chance.
 const ALIKE: f64 = 0.93;
 
@@ -236,9 +236,9 @@
 
     /// What its answers lately showed; after a while without one only what its zone's show at the least, and
     /// that fades. Where nothing is in flight it alone decides: a server that is not tried shows nothing new.
-    fn recent_slowness(&self, now: Micros, way: Option<&Way>) -> f64 {
+    fn recent_slowness(&self, now: Micros, way: Option<&Way>, longest_aim: f64) -> f64 {
         let way = way.map_or(0.0, |way| way.slowness * (1.0 - drift(now, way.at)));
-        let old = now.saturating_sub(self.heard) as f64 >= SHOWN_MEMORY;
+        let old = now.saturating_sub(self.heard) as f64 >= SHOWN_AIMS * longest_aim;
         if old {
             self.slowness.min(way)
         } else {
@@ -828,9 +828,10 @@
         let a = *among.get(first as usize)?;
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (sends, per) = (self.sends as f64, self.window() as f64);
+        let aim = self.longest_aim();
         let tie = |s: &Server| match self.pool {
             Some(_) => s.recent_load(sends, per),
-            None => s.recent_slowness(now, self.ways.get(&s.zone)),
+            None => s.recent_slowness(now, self.ways.get(&s.zone), aim),
         };
         let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
         let ((calls_a, tie_a), (calls_b, tie_b)) = (load(a), load(b));
