Write the log through tracing, as JSON where asked, and read TOML operators' files

Need: other teams feed logs to collectors and keep their settings in TOML; the log's lines were plain strings. Change: events of tracing with the client as a field; text as before by default, JSON with [log] format = json, both written by the output thread as before. An operators' file that ends in .toml has the same sections and keys. Measured: the text log's tests are unchanged and pass; new tests read every JSON line and each refusal with its line.

--- a/proxy/src/audit.rs
+++ b/proxy/src/audit.rs
@@ -4,7 +4,7 @@
 
 use crate::discovery::Health;
 use crate::features::{named, Problem, Section};
-use crate::{log, output};
+use crate::output;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
@@ -275,7 +275,7 @@
             }
         };
         if timeout(STOP_MOST, all).await.is_err() {
-            log("audit: the trail could not be written to its end");
+            tracing::info!("audit: the trail could not be written to its end");
         }
     }
 }
@@ -311,7 +311,7 @@
         let mut failed = false;
         while let Err(error) = file.write_all(line.as_bytes()).and_then(|()| file.sync_data()) {
             if !failed {
-                log(&format!("audit: {error}"));
+                tracing::info!("audit: {error}");
             }
             failed = true;
             // A part of the line may stand there. If it cannot be taken back now, it can at the next start.
--- a/proxy/src/capture.rs
+++ b/proxy/src/capture.rs
@@ -9,7 +9,7 @@
 use crate::discovery;
 use crate::driver::Handle;
 use crate::features::{named, Problem, Section};
-use crate::{log, output};
+use crate::output;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use ochrepond::{Action, Balancer, CallId, Event, Micros, ServerId, Settings as Told};
@@ -284,8 +284,8 @@
             self.ring.push_back(file);
         } else {
             if self.retry_at == 0 {
-                log(
-                    "capture: the module's state does not fit into a file; nothing is recorded until it does",
+                tracing::info!(
+                    "capture: the module's state does not fit into a file; nothing is recorded until it does"
                 );
             }
             self.retry_at = now + RETRY;
@@ -366,7 +366,7 @@
             let mut bytes = Vec::new();
             for number in driver.captured(Recorder::numbers).unwrap_or_default() {
                 let Some(name) = driver.captured(|ring| ring.copy(number, &mut bytes)).flatten() else {
-                    log(&format!("capture: file {number} was dropped before it was written"));
+                    tracing::info!("capture: file {number} was dropped before it was written");
                     continue;
                 };
                 bytes = self.write(name, bytes).await;
@@ -387,13 +387,13 @@
                 }
             };
             if let Err(error) = result {
-                log(&format!("capture: {name}: {error}"));
+                tracing::info!("capture: {name}: {error}");
             }
             // Whoever waited may have gone.
             let _ = done.send(bytes);
         };
         if let Err(error) = thread::Builder::new().name("capture".to_owned()).spawn(write) {
-            log(&format!("capture: {error}"));
+            tracing::info!("capture: {error}");
         }
         written.await.unwrap_or_default()
     }
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -345,7 +345,7 @@
     /// Watches the list at this address from now on, from the version in hand.
     pub fn watch_at(&self, discovery: SocketAddr) {
         let mut driver = self.0.borrow_mut();
-        crate::log(&format!("discovery is at {discovery}"));
+        tracing::info!("discovery is at {discovery}");
         driver.discovery = discovery;
         driver.subscribe(self);
     }
@@ -355,7 +355,7 @@
         let driver = self.0.borrow();
         let idle: usize = driver.hosts.values().map(|h| h.idle.len()).sum();
         let (calls, open) = (driver.calls.len(), Rc::strong_count(&driver.slots) - 1);
-        crate::log(&format!("{calls} calls, {open} connections ({idle} idle), {:?}", driver.counts));
+        tracing::info!("{calls} calls, {open} connections ({idle} idle), {:?}", driver.counts);
     }
 
     /// What the status page shows of now.
@@ -614,7 +614,7 @@
             Action::Cancel { call, attempt } => self.cancel(call, attempt),
             Action::Wake { after } => handle.wake(Instant::now() + Duration::from_micros(after)),
             Action::Subscribe => self.subscribe(handle),
-            Action::Log { text } => crate::log(&text),
+            Action::Log { text } => tracing::info!("{text}"),
             // The module asks for none where the settings allow none, and this program has none to offer.
             Action::Probe { .. } => {}
         }
@@ -687,7 +687,7 @@
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(upstream::spawn(async move {
             let reason = discovery::watch(discovery, since, |list| handle.members(list, false)).await;
-            crate::log(&format!("discovery: {reason}"));
+            tracing::info!("discovery: {reason}");
             handle.run([Event::Members { kind: ListKind::Failed, entries: Vec::new() }]);
             if pushed {
                 tokio::time::sleep(PUSH_RETRY).await;
@@ -707,7 +707,7 @@
         let server = *self.names.entry(entry.host.clone()).or_insert_with(|| {
             self.next_server += 1;
             // The module's lines name servers by number alone.
-            crate::log(&format!("server {} is {} at {}", self.next_server, entry.host, entry.dial));
+            tracing::info!("server {} is {} at {}", self.next_server, entry.host, entry.dial);
             ServerId(self.next_server)
         });
         let host = self.hosts.entry(server).or_insert_with(|| Host {
--- a/proxy/src/features.rs
+++ b/proxy/src/features.rs
@@ -1,12 +1,14 @@
-//! The operators' own file: an INI file that switches features on, beside the platform's configuration. It is
-//! read at start only, and whatever in it is not understood ends the start.
+//! The operators' own file: an INI or TOML file that switches features on, beside the platform's configuration. It
+//! is read at start only, and whatever in it is not understood ends the start.
 
-use crate::{access, audit, capture, status};
+use crate::{access, audit, capture, output, status};
 use ini_core::{Item, Parser};
 use ochrepond::Access;
+use std::collections::BTreeMap;
 use std::fmt::Display;
 use std::path::Path;
 use std::str::FromStr;
+use toml::{Spanned, Value};
 
 /// The features that are on, with their settings.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -19,6 +21,8 @@
     pub capture: Option<capture::Settings>,
     /// Address lists.
     pub access: Option<Access>,
+    /// The log's form.
+    pub log: Option<output::Form>,
 }
 
 /// What is wrong with the file, and in which line.
@@ -89,18 +93,30 @@
     pub fn load(path: &Path) -> Result<Features, String> {
         let file = path.display();
         let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
-        Features::parse(&text).map_err(|problem| format!("{file}:{}: {}", problem.line, problem.reason))
+        let is_toml = path.extension().is_some_and(|extension| extension == "toml");
+        let features = if is_toml { Features::parse_toml(&text) } else { Features::parse(&text) };
+        features.map_err(|problem| format!("{file}:{}: {}", problem.line, problem.reason))
     }
 
-    /// Reads a file's text.
+    /// Reads an INI file's text.
     pub fn parse(text: &str) -> Result<Features, Problem> {
+        Features::of(sections(text)?)
+    }
+
+    /// Reads a TOML file's text: the same sections and keys, lists as arrays.
+    pub fn parse_toml(text: &str) -> Result<Features, Problem> {
+        Features::of(tables(text)?)
+    }
+
+    fn of(sections: Vec<Section>) -> Result<Features, Problem> {
         let mut features = Features::default();
-        for mut section in sections(text)? {
+        for mut section in sections {
             match section.name.as_str() {
                 "status" => features.status = Some(status::Settings::read(&mut section)?),
                 "audit" => features.audit = Some(audit::Settings::read(&mut section)?),
                 "capture" => features.capture = Some(capture::Settings::read(&mut section)?),
                 "access" => features.access = Some(access::read(&mut section)?),
+                "log" => features.log = Some(section.take("format")?.unwrap_or_default()),
                 name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
             }
             section.finish()?;
@@ -117,6 +133,41 @@
     Ok(())
 }
 
+/// The tables of a TOML text as sections, with the lines at which keys stand.
+fn tables(text: &str) -> Result<Vec<Section>, Problem> {
+    type Table<T> = BTreeMap<Spanned<String>, T>;
+    let line =
+        |at: usize| text.as_bytes()[..at.min(text.len())].iter().filter(|&&b| b == b'\n').count() as u32 + 1;
+    let tables: Table<Table<Spanned<Value>>> = toml::from_str(text).map_err(|error| {
+        Problem::new(line(error.span().map_or(0, |span| span.start)), error.message().to_owned())
+    })?;
+    let mut sections = Vec::new();
+    for (name, table) in tables {
+        let mut section =
+            Section { line: line(name.span().start), name: name.into_inner(), entries: Vec::new() };
+        for (key, value) in table {
+            let line = line(key.span().start);
+            let key = key.into_inner();
+            let Some(value) = plain(value.get_ref()) else {
+                return Err(Problem::new(line, format!("{key} is neither a plain value nor a list of such")));
+            };
+            section.entries.push(Entry { line, key, value });
+        }
+        sections.push(section);
+    }
+    Ok(sections)
+}
+
+/// A value as an INI file has it.
+fn plain(value: &Value) -> Option<String> {
+    match value {
+        Value::String(text) => Some(text.clone()),
+        Value::Integer(_) | Value::Float(_) | Value::Boolean(_) => Some(value.to_string()),
+        Value::Array(values) => values.iter().map(plain).collect::<Option<Vec<_>>>().map(|v| v.join(", ")),
+        Value::Datetime(_) | Value::Table(_) => None,
+    }
+}
+
 /// The sections of a text, each once and each of its keys once.
 fn sections(text: &str) -> Result<Vec<Section>, Problem> {
     let mut sections: Vec<Section> = Vec::new();
@@ -166,6 +217,31 @@
         assert_eq!(status, Some(status::Settings { listen_port: Some(8600), refresh }));
     }
 
+    #[test]
+    fn a_toml_file_says_the_same_as_an_ini_file() {
+        let ini =
+            "[status]\nlisten_port = 8600\n[access]\ndeny = 10.0.0.0/8, fd00::/8\n[log]\nformat = json\n";
+        let toml = "log.format = \"json\"\n[status]\nlisten_port = 8600\n\
+                    [access]\ndeny = [\"10.0.0.0/8\", \"fd00::/8\"]\n";
+        let read = Features::parse_toml(toml).expect("good");
+        assert!(read.log == Some(output::Form::Json) && read.access.is_some() && read.status.is_some());
+        assert_eq!(Features::parse(ini), Ok(read));
+        let cases = [
+            ("\n[weather]\n", 2, "unknown section [weather]"),
+            ("[status]\n\nport = 80\n", 3, "unknown key port in [status]"),
+            ("[status]\nlisten_port = 70000\n", 2, "listen_port = 70000: "),
+            ("[status]\nlisten_port = 8600\nlisten_port = 8601\n", 3, "duplicate key"),
+            ("status = 1\n", 1, "invalid type"),
+            ("[log]\nformat = \"xml\"\n", 2, "format = xml: text or json"),
+            ("[log]\nformat = 1979-05-27\n", 2, "neither a plain value"),
+            ("[log\n", 1, ""),
+        ];
+        for (text, line, reason) in cases {
+            let problem = Features::parse_toml(text).expect_err(text);
+            assert!(problem.line == line && problem.reason.contains(reason), "{text}: {problem:?}");
+        }
+    }
+
     #[test]
     fn what_is_not_understood_is_told_with_its_line() {
         let cases = [
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -29,11 +29,6 @@
 /// How long a stop waits for its last lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(500);
 
-/// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
-pub fn log(line: &str) {
-    output::line(line, None);
-}
-
 /// Serves until `stop` is done and all that was taken is answered, with the list that is watched at the last
 /// address in `discovery` and the features of `side`. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
--- a/proxy/src/output.rs
+++ b/proxy/src/output.rs
@@ -1,14 +1,21 @@
 //! Standard error. Where a feature writes to it, a thread does all the writing and requests only queue their
 //! lines: a pipe that nobody reads must not delay them.
 
+use std::fmt::{self, Debug, Write as _};
 use std::io::{self, Write};
-use std::net::IpAddr;
+use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::OnceLock;
 use std::thread;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Subscriber};
+use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields, MakeWriter};
+use tracing_subscriber::registry::LookupSpan;
 
 /// Lines that may wait to be written; further ones are dropped and counted.
 const QUEUE: usize = 256;
@@ -63,13 +70,98 @@
     CLIENTS.store(true, Ordering::Relaxed);
 }
 
-/// Writes a line to the log.
-pub fn line(text: &str, client: Option<IpAddr>) {
-    put(format(text, client));
+/// The form of the log's lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// `flaxhead: ` and the text.
+    #[default]
+    Text,
+    /// An object with time, level and fields.
+    Json,
+}
+
+impl FromStr for Form {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Form, &'static str> {
+        match text {
+            "text" => Ok(Form::Text),
+            "json" => Ok(Form::Json),
+            _ => Err("text or json"),
+        }
+    }
+}
+
+/// Has the program's events written as lines of the log from now on.
+pub fn install(form: Form) {
+    let lines = tracing_subscriber::fmt().with_max_level(LevelFilter::INFO).with_writer(Lines);
+    // Whoever has set another before, such as a test, keeps it.
+    let _ = match form {
+        Form::Text => tracing::subscriber::set_global_default(lines.event_format(Text).finish()),
+        Form::Json => {
+            let lines = lines.json().flatten_event(true).with_current_span(false).with_span_list(false);
+            tracing::subscriber::set_global_default(lines.finish())
+        }
+    };
+}
+
+/// Takes an event's line, whole.
+#[derive(Clone, Copy)]
+struct Lines;
+
+impl MakeWriter<'_> for Lines {
+    type Writer = Lines;
+
+    fn make_writer(&self) -> Lines {
+        Lines
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        put(String::from_utf8_lossy(line).into_owned());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Text;
+
+impl<S, N> FormatEvent<S, N> for Text
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(&self, _: &FmtContext<'_, S, N>, mut to: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+        let mut fields = Fields::default();
+        event.record(&mut fields);
+        to.write_str(&format(&fields.message, fields.client.as_deref()))
+    }
+}
+
+/// What a line of text shows of an event.
+#[derive(Default)]
+struct Fields {
+    message: String,
+    client: Option<String>,
+}
+
+impl Visit for Fields {
+    fn record_debug(&mut self, field: &Field, value: &dyn Debug) {
+        match field.name() {
+            // Writing to a string does not fail.
+            "message" => drop(write!(self.message, "{value:?}")),
+            "client" => self.client = Some(format!("{value:?}")),
+            _ => {}
+        }
+    }
 }
 
 /// A line of the log.
-pub fn format(text: &str, client: Option<IpAddr>) -> String {
+pub fn format(text: &str, client: Option<&str>) -> String {
     match client {
         _ if !CLIENTS.load(Ordering::Relaxed) => format!("flaxhead: {text}\n"),
         Some(client) => format!("flaxhead: {text} client={client}\n"),
--- a/proxy/src/program.rs
+++ b/proxy/src/program.rs
@@ -5,6 +5,7 @@
 use crate::capture::replay::{self, Line, Report};
 use crate::config::Config;
 use crate::features::Features;
+use crate::output;
 use crate::server;
 use crate::side::Side;
 use clap::{Args, Parser, Subcommand};
@@ -151,6 +152,7 @@
 }
 
 fn start(features: Features) -> Result<(), String> {
+    output::install(features.log.unwrap_or_default());
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
     let mut config = Config::load(Path::new(&path))?;
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
@@ -175,7 +177,7 @@
                         noting("config", Actor::Platform, &format!("discovery at {}", config.discovery));
                         moved.send_replace(config.discovery);
                     }
-                    Err(reason) => crate::log(&format!("not reloaded: {reason}")),
+                    Err(reason) => tracing::info!("not reloaded: {reason}"),
                 }
             }
         });
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -2,8 +2,6 @@
 
 use crate::access::{self, Admitted};
 use crate::driver::{Ask, Forward, Handle, Reply};
-use crate::log;
-use crate::output;
 use crate::upstream::{BODY_MOST, HEAD_MOST};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
@@ -76,7 +74,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => clients.serve(stream, peer.ip()),
                 Err(error) => {
-                    log(&format!("accept: {error}"));
+                    tracing::info!("accept: {error}");
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
@@ -130,10 +128,10 @@
     fn serve(&mut self, stream: TcpStream, peer: IpAddr) {
         let (peer, access) = (peer.to_canonical(), self.access.clone());
         if access.as_ref().is_some_and(|access| access.peer(peer) == Admission::Close) {
-            return output::line("closed: not allowed", Some(peer));
+            return tracing::info!(client = %peer, "closed: not allowed");
         }
         if let Err(error) = stream.set_nodelay(true) {
-            log(&format!("nodelay: {error}"));
+            tracing::info!("nodelay: {error}");
         }
         let idle = Rc::new(Cell::new(Some(Instant::now())));
         let conversation = Conversation {
@@ -166,11 +164,11 @@
     async fn begin(self, access: &Access, stream: TcpStream, peer: IpAddr) {
         match timeout_at(self.first_due, access::admit(access, stream, peer)).await {
             Ok(Ok(Admitted { client, stream })) => {
-                output::line(&format!("connected from {peer}"), Some(client));
+                tracing::info!(client = %client, "connected from {peer}");
                 self.hold(stream).await;
             }
-            Ok(Err((client, reason))) => output::line(&format!("closed: {reason}"), Some(client)),
-            Err(_) => output::line("closed: it did not begin in time", Some(peer)),
+            Ok(Err((client, reason))) => tracing::info!(client = %client, "closed: {reason}"),
+            Err(_) => tracing::info!(client = %peer, "closed: it did not begin in time"),
         }
     }
 
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -4,7 +4,6 @@
 use crate::discovery::Health;
 use crate::driver::Handle;
 use crate::features::{Problem, Section};
-use crate::log;
 use html_escape::encode_safe;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -219,7 +218,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                log(&format!("status: accept: {error}"));
+                tracing::info!("status: accept: {error}");
                 sleep(ACCEPT_PAUSE).await;
                 continue;
             }
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -190,3 +190,45 @@
         assert!(TcpStream::connect(address).await.is_err(), "nobody listens any more");
     });
 }
+
+/// With `[log] format = json` in a TOML file each line of the log is an object that names what happened.
+#[test]
+fn the_log_is_json_where_the_operators_ask_for_it() {
+    run(async {
+        let address = free_address();
+        let config = configuration_at(address, Discovery::quiet().await.address, &[]);
+        let own = folder("log-json").join("own.toml");
+        std::fs::write(&own, "[log]\nformat = \"json\"\n").expect("written");
+        let mut child = Running::start(program(&config, "log-json.json").0.arg(&own));
+        drop(connect(address).await);
+        tell(&child, "-HUP");
+        tell(&child, "-TERM");
+        assert_eq!(exit_code(&mut child).await, Some(0));
+        let log = std::io::read_to_string(child.stderr.take().expect("piped")).expect("text");
+        let lines: Vec<serde_json::Value> = log
+            .lines()
+            .map(|line| serde_json::from_str(line).unwrap_or_else(|e| panic!("{e}: {line}")))
+            .collect();
+        let figures = |line: &serde_json::Value| {
+            line["level"] == "INFO" && line["message"].as_str().is_some_and(|text| text.contains(" calls, "))
+        };
+        assert!(lines.iter().any(figures), "{log}");
+    });
+}
+
+/// `check` says whether a start would be refused, and why, without starting.
+#[test]
+fn a_file_is_checked_without_a_start() {
+    let own = folder("checked").join("own.toml");
+    let check = |text: &str| {
+        std::fs::write(&own, text).expect("written");
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_flaxhead"));
+        let output = command.env_remove("ROUTER_CONFIG").arg("check").arg(&own).output().expect("it runs");
+        let said = [output.stdout, output.stderr].concat();
+        (output.status.code(), String::from_utf8_lossy(&said).into_owned())
+    };
+    let (code, said) = check("[capture]\nfiles = 4\n");
+    assert!(code == Some(0) && said.ends_with("own.toml: ok\n"), "{said}");
+    let (code, said) = check("[capture]\n\nfile = 4\n");
+    assert!(code == Some(2) && said.contains("own.toml:3: unknown key file in [capture]"), "{said}");
+}
