--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -134,6 +134,8 @@
     pub sockets: usize,
     /// The news after which nothing new may reach a node, in milliseconds.
     pub drain_grace_ms: u64,
+    /// Processors that all of them are kept to; none: any.
+    pub processors: Vec<usize>,
     /// The operators' file of each, if there is one.
     pub own_file: Option<String>,
 }
@@ -149,6 +151,7 @@
             connect_timeout_ms: 250,
             sockets: 1_024,
             drain_grace_ms: 2_500,
+            processors: Vec::new(),
             own_file: None,
         }
     }
--- a/lab/src/fleet/node.rs
+++ b/lab/src/fleet/node.rs
@@ -176,8 +176,10 @@
         let way = fleet.borrow().way(proxy, node);
         let paused = fleet.borrow().nodes[node].model.paused_until();
         let entry = fleet.borrow_mut().reached(node, proxy, &request);
-        sleep(way * std::mem::replace(&mut ways, 1)).await;
-        super::sleep_until(epoch, paused).await;
+        away(way * std::mem::replace(&mut ways, 1)).await;
+        if paused > epoch.now() {
+            super::sleep_until(epoch, paused).await;
+        }
         let end = match entry {
             None => Answer::Plain(fleet.borrow_mut().aside(node, &request)),
             Some(entry) => {
@@ -186,7 +188,7 @@
             }
         };
         let broken = |kind| fleet.borrow_mut().goes_wrong(node, kind);
-        sleep(way).await;
+        away(way).await;
         match end {
             Answer::Left => return End::Close,
             Answer::Plain(bytes) => {
@@ -230,6 +232,13 @@
     }
 }
 
+/// The way from or to a proxy. Timers count whole milliseconds: no way takes none.
+async fn away(way: Duration) {
+    if !way.is_zero() {
+        sleep(way).await;
+    }
+}
+
 /// What a node has to say.
 enum Answer {
     /// These bytes.
--- a/lab/src/proxy.rs
+++ b/lab/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::audit::Repeat;
 use crate::experiment::Experiment;
+use nix::sched::{sched_setaffinity, CpuSet};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::{json, Value};
@@ -192,6 +193,11 @@
         self.ready()
     }
 
+    /// Keeps it, and what it starts, to these processors.
+    pub fn pin(&self, processors: &[usize]) -> io::Result<()> {
+        pin(self.pid(), processors)
+    }
+
     /// What it has used so far; nothing is known of one that has ended.
     pub fn usage(&self) -> Usage {
         let read =
@@ -231,6 +237,17 @@
     }
 }
 
+/// Keeps the calling thread, and those that it starts, to these processors.
+pub fn pin_this(processors: &[usize]) -> io::Result<()> {
+    pin(Pid::from_raw(0), processors)
+}
+
+fn pin(pid: Pid, processors: &[usize]) -> io::Result<()> {
+    let mut set = CpuSet::new();
+    processors.iter().try_for_each(|&processor| set.set(processor)).map_err(io::Error::from)?;
+    sched_setaffinity(pid, &set).map_err(io::Error::from)
+}
+
 fn forget(pid: Pid) {
     RUNNING.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).retain(|of| *of != pid.as_raw());
 }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -188,6 +188,10 @@
         locked(proxies).push(proxy);
     }
     let mut started = locked(proxies);
+    let processors = &experiment.proxies.processors;
+    if !processors.is_empty() {
+        started.iter().try_for_each(|proxy| proxy.pin(processors)).map_err(doing("processors of a proxy"))?;
+    }
     started.iter_mut().try_for_each(Proxy::ready).map_err(doing("a proxy"))?;
     Ok(Targets::new(started.iter().map(|proxy| proxy.address).collect()))
 }
