--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -307,6 +307,8 @@
     Distance,
     /// The node does nothing for the time, and then goes on.
     Pause,
+    /// A connection is reset before anything is read.
+    ResetBeforeRequest,
     /// A connection is reset before the request is read whole.
     ResetInRequest,
     /// A request runs, and its connection is reset before the answer.
@@ -450,6 +452,25 @@
 }
 
 impl Fault {
+    /// A fault as a line says it by hand: its kind, then keys and values, such as `crash nodes=[0,2] for=1.5`.
+    pub fn by_hand(line: &str, of: &Experiment) -> Result<Fault, String> {
+        let mut words = line.split_whitespace();
+        let kind = words.next().unwrap_or_default();
+        let quoted = |word: &str| match word.split_once('=') {
+            Some((key, value)) if value.starts_with(|c: char| c.is_alphabetic()) => {
+                format!("{key} = {value:?}")
+            }
+            _ => word.to_owned(),
+        };
+        let text = format!("at = 0\nkind = {kind:?}\n{}", words.map(quoted).collect::<Vec<_>>().join("\n"));
+        let fault: Fault = toml::from_str(&text).map_err(|error| error.message().to_owned())?;
+        if matches!(fault.kind, FaultKind::Freeze | FaultKind::Kill) {
+            return Err("a proxy's fault: signal its process".into());
+        }
+        fault.check(of)?;
+        Ok(fault)
+    }
+
     fn check(&self, of: &Experiment) -> Result<(), String> {
         let (nodes, proxies) = (of.node_count(), of.proxies.count);
         if !(0.0..=SECONDS_MOST).contains(&self.at)
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::experiment::Experiment;
 use crate::ledger::FleetLedger;
-use crate::load::schedule::Schedule;
+use crate::load::schedule::{Schedule, Trouble};
 use crate::model::node::{Micros, Node, Spec};
 use crate::model::pod::Pod;
 use crate::Epoch;
@@ -31,6 +31,8 @@
 enum Command {
     /// The whole list as a proxy is told it when it starts.
     List(usize, mpsc::Sender<serde_json::Value>),
+    /// A fault by hand.
+    Trouble(Trouble),
     /// The end.
     Stop,
 }
@@ -66,6 +68,7 @@
                     match command {
                         // Whoever asked may have gone.
                         Command::List(proxy, to) => drop(to.send(discovery::whole(&fleet, proxy))),
+                        Command::Trouble(trouble) => faults::schedule(&fleet, vec![trouble]),
                         Command::Stop => break,
                     }
                 }
@@ -83,6 +86,12 @@
         list.recv_timeout(Duration::from_secs(5)).ok()
     }
 
+    /// Brings a fault about.
+    pub fn befall(&self, trouble: Trouble) {
+        // A fleet that has ended has no more faults.
+        let _ = self.commands.blocking_send(Command::Trouble(trouble));
+    }
+
     /// Ends the fleet and hands its ledger over.
     pub fn stop(mut self) -> FleetLedger {
         let _ = self.commands.blocking_send(Command::Stop);
--- a/lab/src/fleet/node.rs
+++ b/lab/src/fleet/node.rs
@@ -133,6 +133,10 @@
         if place.open >= place.spec.connections {
             return reset(&stream);
         }
+        if state.goes_wrong(node, FaultKind::ResetBeforeRequest) {
+            return reset(&stream);
+        }
+        let place = &mut state.nodes[node];
         place.open += 1;
         place.model.burden(now, place.spec.handshake_ms * 1_000.0);
         place.changed.notify_one();
--- a/lab/src/load/schedule.rs
+++ b/lab/src/load/schedule.rs
@@ -90,6 +90,13 @@
         self
     }
 
+    /// One more fault, from this moment on, by hand.
+    pub fn by_hand(line: &str, experiment: &Experiment, now: Micros) -> Result<Trouble, String> {
+        let fault = Fault::by_hand(line, experiment)?;
+        let drawn = trouble(&fault, experiment, &mut draws(now, 5));
+        Ok(Trouble { at: now, until: drawn.until.map(|until| now + until), ..drawn })
+    }
+
     /// Writes it as JSON lines: a head, then each fault, then each request.
     pub fn write(&self, to: &mut impl Write) -> io::Result<()> {
         #[derive(Serialize)]
--- a/lab/src/load/trace.rs
+++ b/lab/src/load/trace.rs
@@ -13,7 +13,7 @@
 use super::schedule::Arrival;
 use crate::experiment::{Experiment, Problem};
 use crate::model::node::Micros;
-use nettleworks::capture::replay::requests;
+use nettleworks::capture::replay::{requests, Asked};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -50,18 +50,7 @@
     } else {
         // The file's number of a request stands in for a line.
         let asked = requests(path).map_err(|reason| problem(0, reason))?;
-        let first = asked.first().map_or(0, |asked| asked.at);
-        lines.extend(asked.into_iter().enumerate().map(|(number, asked)| {
-            let line = Line {
-                at_ms: (asked.at - first) as f64 / 1_000.0,
-                class: asked.class,
-                tenant: Some(asked.caller).filter(|caller| !caller.is_empty()),
-                patience_ms: Some(asked.budget_ms as f64),
-                work_ms: None,
-                proxy: None,
-            };
-            (number + 1, line)
-        }));
+        lines.extend(captured(asked).into_iter().enumerate().map(|(number, line)| (number + 1, line)));
     }
     let mut arrivals: Vec<Arrival> = Vec::with_capacity(lines.len());
     for (number, line) in lines {
@@ -71,6 +60,20 @@
     Ok(arrivals)
 }
 
+/// The requests of a capture, counted from the first.
+fn captured(asked: Vec<Asked>) -> Vec<Line> {
+    let first = asked.first().map_or(0, |asked| asked.at);
+    let line = |asked: Asked| Line {
+        at_ms: asked.at.saturating_sub(first) as f64 / 1_000.0,
+        class: asked.class,
+        tenant: Some(asked.caller).filter(|caller| !caller.is_empty()),
+        patience_ms: Some(asked.budget_ms as f64),
+        work_ms: None,
+        proxy: None,
+    };
+    asked.into_iter().map(line).collect()
+}
+
 impl Line {
     fn arrival(self, of: &Experiment, place: usize) -> Result<Arrival, String> {
         let class = of.classes.iter().position(|class| class.name == self.class);
@@ -101,3 +104,25 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_capture_s_requests_keep_their_distances_classes_and_patience() {
+        let text = "name = \"x\"\nseconds = 1\nfleet = { nodes = [{}] }\nload = [{ shape = \"steady\", rate = 5 }]\n";
+        let of = Experiment::parse(text, "x").expect("good");
+        let asked = |at, class: &str, caller: &str| Asked {
+            at,
+            class: class.to_owned(),
+            caller: caller.to_owned(),
+            budget_ms: 480,
+        };
+        let lines = captured(vec![asked(7_000, "send", ""), asked(9_500, "balance", "cassa-iblea")]);
+        let arrivals: Vec<Arrival> =
+            lines.into_iter().map(|line| line.arrival(&of, 0).expect("known")).collect();
+        let read: Vec<_> = arrivals.iter().map(|a| (a.at, a.class, a.tenant, a.patience)).collect();
+        assert_eq!(read, [(0, 3, 0, 480_000), (2_500, 0, 1, 480_000)]);
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -86,7 +86,8 @@
         #[arg(long, value_name = "CLIENTS")]
         closed: Option<usize>,
     },
-    /// Starts an experiment's fleet and discovery with its faults, and writes what each proxy is to be told.
+    /// Starts an experiment's fleet and discovery with its faults, and writes what each proxy is to be told. Each line
+    /// of standard input is a further fault, such as `crash nodes=[0] for=2`.
     Fleet {
         /// The file.
         file: PathBuf,
@@ -268,7 +269,8 @@
     let experiment = Experiment::load(file)?;
     std::fs::create_dir_all(out)?;
     let schedule = Schedule::draw(&experiment, experiment.seed);
-    let fleet = Fleet::start(&experiment, &schedule, Epoch::after(Duration::ZERO))?;
+    let epoch = Epoch::after(Duration::ZERO);
+    let fleet = Arc::new(Fleet::start(&experiment, &schedule, epoch)?);
     for number in 0..experiment.proxies.count {
         let list = fleet.list(number).ok_or("the fleet has ended")?;
         let (listen, discovery) = (free_address()?, fleet.discovery[number]);
@@ -277,9 +279,19 @@
         std::fs::write(&path, serde_json::to_vec_pretty(&config)?)?;
         say(&format!("ROUTER_CONFIG={} flaxhead    # listens on {listen}", path.display()));
     }
+    let (hand, of) = (Arc::downgrade(&fleet), experiment.clone());
+    thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok).filter(|line| !line.trim().is_empty()) {
+            let Some(fleet) = hand.upgrade() else { return };
+            match Schedule::by_hand(&line, &of, epoch.now()) {
+                Ok(trouble) => fleet.befall(trouble),
+                Err(reason) => say(&format!("{line}: {reason}")),
+            }
+        }
+    });
     let seconds = seconds.unwrap_or(*experiment.seconds.get_ref()).clamp(0.0, 86_400.0);
     thread::sleep(Duration::from_secs_f64(seconds));
-    let ledger = fleet.stop();
+    let ledger = Arc::into_inner(fleet).map(Fleet::stop).unwrap_or_default();
     say(&format!("{} requests reached the nodes", ledger.handled.len()));
     Ok(0)
 }
--- a/lab/tests/files.rs
+++ b/lab/tests/files.rs
@@ -107,3 +107,21 @@
     let (code, said) = lab(&["load", far.to_str().expect("a name"), "--to", "192.0.2.1:80"]);
     assert!(code == Some(2) && said.contains("not a loopback address"), "{said}");
 }
+
+#[test]
+fn a_fault_by_hand_is_understood_or_refused_in_words() {
+    let of = experiment(1.0, 5.0, "fleet = { nodes = [{ count = 3 }] }");
+    let trouble = Schedule::by_hand("crash nodes=[0,2] for=1.5", &of, 7_000_000).expect("good");
+    assert_eq!((trouble.at, trouble.until, trouble.nodes), (7_000_000, Some(8_500_000), vec![0, 2]));
+    assert!(Schedule::by_hand("zone-cut zone=catania", &of, 0).is_ok_and(|t| t.zone == Some(1)));
+    for (line, reason) in [
+        ("burn nodes=[0]", "unknown variant"),
+        ("crash nodes=[9]", "there is no node 9"),
+        ("crash node=0", "unknown field"),
+        ("freeze for=1", "signal its process"),
+        ("crash =", ""),
+    ] {
+        let problem = Schedule::by_hand(line, &of, 0).expect_err(line);
+        assert!(problem.contains(reason), "{line}: {problem}");
+    }
+}
--- a/proxy/tests/capture.rs
+++ b/proxy/tests/capture.rs
@@ -3,12 +3,13 @@
 mod common;
 
 use common::*;
+use nettleworks::capture::replay;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use tokio::time::{sleep, Duration};
 
-fn replay(file: &Path, more: &[&str]) -> (Option<i32>, String) {
+fn replayed(file: &Path, more: &[&str]) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_flaxhead"));
     let output = command.arg("replay").arg(file).args(more).output().expect("it runs");
     let said = [output.stdout, output.stderr].concat();
@@ -94,7 +95,7 @@
 }
 
 fn no_difference(file: &Path) {
-    let (code, said) = replay(file, &[]);
+    let (code, said) = replayed(file, &[]);
     assert!(code == Some(0) && said.ends_with(" 0 differences\n"), "{}: {said}", file.display());
     assert!(!said.contains("warning") && !said.contains(" 0 events"), "{}: {said}", file.display());
 }
@@ -158,13 +159,21 @@
             let lines = log.lines().filter(|line| line.starts_with("CAP ")).collect::<Vec<_>>();
             fs::write(folder.join("lines"), lines.join("\n")).expect("written");
             no_difference(&folder.join("lines"));
+            let asked = replay::requests(&folder.join("log")).expect("requests");
+            let classes: Vec<&str> = asked.iter().map(|asked| asked.class.as_str()).collect();
+            let last = ["free", "unsafe", "keyed"];
+            assert!(
+                classes.len() >= 40 && classes.windows(3).filter(|w| w == &last).count() >= 10,
+                "{classes:?}"
+            );
+            assert!(asked.iter().all(|a| a.budget_ms == 60) && asked.is_sorted_by_key(|a| a.at), "{asked:?}");
             let cut = format!("{}\n", lines[..lines.len() / 2].join("\n"));
             fs::write(folder.join("cut"), cut).expect("written");
-            let (code, said) = replay(&folder.join("cut"), &[]);
+            let (code, said) = replayed(&folder.join("cut"), &[]);
             assert!(code == Some(0) && said.contains("warning") && said.contains("cut off"), "{said}");
             let bad = log.replacen("CAP ", "CAP !", 3);
             fs::write(folder.join("bad"), bad).expect("written");
-            let (_, said) = replay(&folder.join("bad"), &[]);
+            let (_, said) = replayed(&folder.join("bad"), &[]);
             assert!(said.contains("warning: line "), "{said}");
             log
         };
@@ -214,9 +223,9 @@
         ("ones", &[255; 4_096]),
     ] {
         fs::write(folder.join(name), bytes).expect("written");
-        let (code, said) = replay(&folder.join(name), &[]);
+        let (code, said) = replayed(&folder.join(name), &[]);
         assert!(code == Some(2) || said.contains("warning"), "{name}: {code:?} {said}");
         assert!(!said.contains("panicked") && said.lines().count() <= 2, "{name}: {said}");
     }
-    assert_eq!(replay(&folder.join("missing"), &[]).0, Some(2));
+    assert_eq!(replayed(&folder.join("missing"), &[]).0, Some(2));
 }
