--- a/src/balance.rs
+++ b/src/balance.rs
@@ -70,8 +70,10 @@
 const ZONE_DOUBLINGS: u32 = 3;
 /// Memory of the rate of answers.
 const RATE_MEMORY: f64 = 3e6;
-/// Longest aims without an answer after which what a server showed no longer tells it from its zone's best.
-const SHOWN_AIMS: f64 = 2.0;
+/// Longest aims without an answer after which what a server showed no longer tells it from its zone's best,
+/// and the longest such time: a busy proxy loses by trying slow servers often, a quiet one must not wait long.
+const SHOWN_AIMS: f64 = 8.0;
+const SHOWN_MOST: f64 = 4e6;
 /// Ties this near are left to chance.
 const ALIKE: f64 = 0.93;
 
@@ -238,7 +240,7 @@
     /// that fades. Where nothing is in flight it alone decides: a server that is not tried shows nothing new.
     fn recent_slowness(&self, now: Micros, way: Option<&Way>, longest_aim: f64) -> f64 {
         let way = way.map_or(0.0, |way| way.slowness * (1.0 - drift(now, way.at)));
-        let old = now.saturating_sub(self.heard) as f64 >= SHOWN_AIMS * longest_aim;
+        let old = now.saturating_sub(self.heard) as f64 >= (SHOWN_AIMS * longest_aim).min(SHOWN_MOST);
         if old {
             self.slowness.min(way)
         } else {
