--- a/src/balance.rs
+++ b/src/balance.rs
@@ -71,7 +71,7 @@
 /// Memory of the rate of answers.
 const RATE_MEMORY: f64 = 3e6;
 /// Longest aims without an answer after which what a server showed no longer tells it from its zone's best,
-/// and the longest such time: a busy proxy loses by trying slow servers often, a quiet one must not wait long.
+/// and the longest such time: a busy proxy loses by trying slow servers often, a quiet one by waiting long.
 const SHOWN_AIMS: f64 = 8.0;
 const SHOWN_MOST: f64 = 4e6;
 /// Ties this near are left to chance.
