Say once in the lab what it said twice, and drop a setting that did nothing

Faults were brought about and taken back by two twin functions, two files had the same wait, two the same walk over the nodes, the late value stood twice; hold.rules and Experiment::span were never used.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -353,8 +353,6 @@
     pub slowest_at_least_ms: Option<f64>,
     /// Attempts at nodes for each first try, at the most.
     pub attempts: Option<f64>,
-    /// Requests that nodes ran though they run once only, twice or more; 0 unless told.
-    pub rules: Option<bool>,
 }
 
 impl Experiment {
@@ -384,9 +382,10 @@
         self.fleet.nodes.iter().map(|kind| kind.get_ref().count).sum()
     }
 
-    /// How long requests arrive, in microseconds.
-    pub fn span(&self) -> u64 {
-        (self.seconds.get_ref() * 1e6) as u64
+    /// What each node is, in the order of their numbers.
+    pub fn specs(&self) -> impl Iterator<Item = &Spec> {
+        let kinds = self.fleet.nodes.iter().map(|kind| kind.get_ref());
+        kinds.flat_map(|spec| std::iter::repeat_n(spec, spec.count))
     }
 
     fn check(&self) -> Result<(), (usize, String)> {
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 
 /// Share of its worth that an answer past its aim still has.
-const LATE_VALUE: f64 = 0.5;
+pub(crate) const LATE_VALUE: f64 = 0.5;
 /// The span whose worst is told, in seconds.
 const WORST: usize = 10;
 
@@ -307,7 +307,7 @@
         let mut ran: HashMap<&str, usize> = HashMap::new();
         let mut reached: HashMap<&str, usize> = HashMap::new();
         self.nodes = vec![NodeFigures::default(); experiment.node_count()];
-        let specs = experiment.fleet.nodes.iter().flat_map(|spec| vec![spec.get_ref(); spec.get_ref().count]);
+        let specs = experiment.specs();
         let capacities = specs.zip(&evidence.schedule.speeds).map(|(spec, speed)| spec.cores * speed);
         let capacities: Vec<f64> = capacities.collect();
         for handled in &fleet.handled {
--- a/lab/src/fleet/faults.rs
+++ b/lab/src/fleet/faults.rs
@@ -21,14 +21,14 @@
         }
         let (fleet, epoch) = (fleet.clone(), fleet.borrow().epoch);
         spawn_local(async move {
-            super::sleep_until(epoch, trouble.at).await;
+            epoch.until(trouble.at).await;
             if trouble.kind == FaultKind::Release {
                 return release(&fleet, &trouble).await;
             }
-            apply(&fleet, &trouble);
+            turn(&fleet, &trouble, true);
             if let Some(until) = trouble.until {
-                super::sleep_until(epoch, until).await;
-                revert(&fleet, &trouble);
+                epoch.until(until).await;
+                turn(&fleet, &trouble, false);
             }
         });
     }
@@ -64,38 +64,24 @@
     publish(fleet, node, Health::Ready);
 }
 
-fn apply(fleet: &Shared, trouble: &Trouble) {
+/// Brings a fault about, or takes it back.
+fn turn(fleet: &Shared, trouble: &Trouble, on: bool) {
     for &node in &trouble.nodes {
         match trouble.kind {
-            FaultKind::Crash => {
+            FaultKind::Crash if on => {
                 fleet.borrow_mut().stop(node);
                 publish(fleet, node, Health::Gone);
             }
-            FaultKind::Drain => {
-                fleet.borrow_mut().nodes[node].draining = true;
-                publish(fleet, node, Health::Terminating);
-            }
-            _ => fleet.borrow_mut().set(node, trouble, true),
-        }
-    }
-    let mut state = fleet.borrow_mut();
-    state.of_all(trouble, true);
-    state.relink();
-}
-
-fn revert(fleet: &Shared, trouble: &Trouble) {
-    for &node in &trouble.nodes {
-        match trouble.kind {
             FaultKind::Crash => start(fleet, node),
             FaultKind::Drain => {
-                fleet.borrow_mut().nodes[node].draining = false;
-                publish(fleet, node, Health::Ready);
+                fleet.borrow_mut().nodes[node].draining = on;
+                publish(fleet, node, if on { Health::Terminating } else { Health::Ready });
             }
-            _ => fleet.borrow_mut().set(node, trouble, false),
+            _ => fleet.borrow_mut().set(node, trouble, on),
         }
     }
     let mut state = fleet.borrow_mut();
-    state.of_all(trouble, false);
+    state.of_all(trouble, on);
     state.relink();
 }
 
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -189,7 +189,7 @@
 impl State {
     fn new(of: &Experiment, schedule: &Schedule, listeners: &[Vec<TcpListener>], epoch: Epoch) -> State {
         let (zones, proxies) = (of.fleet.zones.len(), of.proxies.count);
-        let specs = of.fleet.nodes.iter().flat_map(|spec| vec![spec.get_ref(); spec.get_ref().count]);
+        let specs = of.specs();
         let place = |((n, spec), speed): ((usize, &Spec), &f64)| {
             let spec = Spec { speed: *speed, ..spec.clone() };
             Place {
@@ -239,7 +239,3 @@
         Duration::from_micros(far + place.distance)
     }
 }
-
-async fn sleep_until(epoch: Epoch, at: Micros) {
-    tokio::time::sleep_until(epoch.instant(at).into()).await;
-}
--- a/lab/src/fleet/node.rs
+++ b/lab/src/fleet/node.rs
@@ -49,7 +49,7 @@
         let next = fleet.borrow().nodes[node].model.next_end();
         match next {
             Some(at) => tokio::select! {
-                () = super::sleep_until(epoch, at) => {}
+                () = epoch.until(at) => {}
                 () = changed.notified() => {}
             },
             None => changed.notified().await,
@@ -182,7 +182,7 @@
         let entry = fleet.borrow_mut().reached(node, proxy, &request);
         away(way * std::mem::replace(&mut ways, 1)).await;
         if paused > epoch.now() {
-            super::sleep_until(epoch, paused).await;
+            epoch.until(paused).await;
         }
         let end = match entry {
             None => Answer::Plain(fleet.borrow_mut().aside(node, &request)),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -41,6 +41,11 @@
         self.start + Duration::from_micros(at)
     }
 
+    /// Waits until a moment of the run, to a whole millisecond.
+    pub async fn until(&self, at: Micros) {
+        tokio::time::sleep_until(self.instant(at).into()).await;
+    }
+
     /// A moment of the run in milliseconds of Unix time.
     pub fn unix_ms(&self, at: Micros) -> u64 {
         (self.unix + at) / 1_000
--- a/lab/src/load/sender.rs
+++ b/lab/src/load/sender.rs
@@ -203,7 +203,7 @@
                         loop {
                             let number = worker.load.next.fetch_add(1, Ordering::Relaxed);
                             let Some(arrival) = worker.load.arrivals.get(number) else { return };
-                            until(worker.load.epoch, arrival.at).await;
+                            worker.load.epoch.until(arrival.at).await;
                             worker.request(number, Some(worker.load.epoch.now())).await;
                         }
                     });
@@ -218,10 +218,6 @@
     })
 }
 
-async fn until(epoch: Epoch, at: Micros) {
-    tokio::time::sleep_until(epoch.instant(at).into()).await;
-}
-
 /// An id, and a key, that no other try of a run has.
 fn word(seed: u64, arrival: usize, number: u32, purpose: u64) -> String {
     // SplitMix64 (Steele, Lea and Flood, 2014): distinct inputs give distinct words.
@@ -263,7 +259,7 @@
             };
             if retry < load.retries {
                 from = now + wait;
-                until(load.epoch, from).await;
+                load.epoch.until(from).await;
             }
         }
     }
--- a/lab/src/proxy.rs
+++ b/lab/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::audit::Repeat;
 use crate::experiment::Experiment;
+use crate::figures::LATE_VALUE;
 use nix::sched::{sched_setaffinity, CpuSet};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -67,7 +68,7 @@
         };
         json!({
             "name": class.name, "objective_us": micros(class.aim_ms), "deadline_us": micros(class.gives_up_ms),
-            "worth": class.worth, "late_value": 0.5, "idempotency": kind, "dedup_scope": "cell",
+            "worth": class.worth, "late_value": LATE_VALUE, "idempotency": kind, "dedup_scope": "cell",
             "repeat_window_us": micros(of.fleet.repeat_window_ms),
         })
     });
