Cut the engine out of the daemon: it names no protocol and no feature

Need: the life of a call was bound to HTTP/1.1 in one file of 773 lines that held clock, calls, attempts, the list, the hooks of four features and hyper types, and six files of proxy/src imported each other in a circle. Every front to come would have copied it.

Change: engine/ (flaxhead-engine) owns calls, attempts, timers, the list and the module, between a front with a payload of its own, a Transport trait, a Source of the list and Observers of one stream of notes. discovery/ (flaxhead-discovery) is the HTTP source. The daemon is engine + http/front + http/transport + features, each feature an observer. Code is moved, not rewritten.

--- /dev/null
+++ b/engine/src/transport.rs
@@ -0,0 +1,76 @@
+//! What carries attempts to hosts.
+
+use ochrepond::{Load, Outcome, ServerId};
+use std::cell::Cell;
+use std::fmt::Debug;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Bytes that were written for one attempt: none means that no host can have seen it. Whoever writes counts up
+/// before a byte leaves for good, never after.
+pub type Meter = Rc<Cell<usize>>;
+
+/// Where an attempt goes, and on what terms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// The host's number.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The request must not run twice.
+    pub once: bool,
+    /// When the attempt is given up.
+    pub until: Instant,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub struct End<A> {
+    /// How.
+    pub outcome: Outcome,
+    /// The host's report on its load.
+    pub load: Load,
+    /// The answer to pass on. With one the call is over, also where the outcome is a failure: the host's word is
+    /// final then.
+    pub answer: Option<A>,
+}
+
+impl<A> End<A> {
+    /// An end without an answer.
+    pub fn without_answer(outcome: Outcome) -> End<A> {
+        End { outcome, load: Load::default(), answer: None }
+    }
+}
+
+/// Connects, sends, reports outcomes. It decides nothing: which host, when, and for how long the engine says.
+pub trait Transport: 'static {
+    /// What a front gives for a call: sent once for each attempt.
+    type Request: 'static;
+    /// What a host answers.
+    type Answer: 'static;
+
+    /// Something new may be sent to a host at this address from now on; `None`: nothing may, and what is idle
+    /// there closes. `restarted`: what is idle there leads to a process that has gone.
+    fn host(&self, server: ServerId, dial: Option<SocketAddr>, restarted: bool);
+
+    /// A host is no longer listed.
+    fn forget(&self, server: ServerId);
+
+    /// One attempt, from its connection to its outcome. What it goes out on is chosen in this call where something
+    /// is at hand, not when the future is first polled. Dropping the future calls the attempt off. The engine drops
+    /// it at the target's `until`.
+    fn send(
+        &self,
+        target: Target,
+        request: &Rc<Self::Request>,
+        meter: &Meter,
+    ) -> impl Future<Output = End<Self::Answer>> + use<Self> + 'static;
+
+    /// Called once a second.
+    fn sweep(&self) {}
+
+    /// Figures for the log.
+    fn figures(&self) -> impl Debug;
+}
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,6 +1,6 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
-use crate::discovery::List;
+use flaxhead_engine::List;
 use ochrepond::Settings;
 use serde::Deserialize;
 use serde_json::Value;
--- a/proxy/src/access.rs
+++ b/proxy/src/features/access.rs
@@ -1,7 +1,7 @@
 //! Address lists: whom a connection is from, by its peer or by the PROXY header of a trusted front, and whether it
 //! may come. What is allowed the module's crate says ([`ochrepond::Access`]).
 
-use crate::features::{Problem, Section};
+use super::sections::{Problem, Section};
 use ochrepond::{Access, Admission};
 use ppp::{v1, v2};
 use std::io::Cursor;
--- a/proxy/src/capture.rs
+++ b/proxy/src/features/capture.rs
@@ -6,20 +6,22 @@
 
 pub mod replay;
 
-use crate::discovery;
-use crate::driver::Handle;
-use crate::features::{named, Problem, Section};
+use super::sections::{named, Problem, Section};
+use crate::http::{code, Http};
 use crate::output;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
+use flaxhead_engine::{Host, Note, Observer, View};
 use ochrepond::{Action, Balancer, CallId, Event, Micros, ServerId, Settings as Told};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fs;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::thread;
 use tokio::signal::unix::Signal;
 use tokio::sync::oneshot;
@@ -146,7 +148,7 @@
         /// Whether it is all of the list.
         whole: bool,
         /// The hosts.
-        hosts: Vec<(ServerId, Cow<'a, discovery::Host>)>,
+        hosts: Vec<(ServerId, Cow<'a, Host>)>,
     },
     /// A request.
     Asked {
@@ -175,7 +177,7 @@
 }
 
 /// What a client said in a header, cut to a bounded length.
-pub fn word(headers: &hyper::HeaderMap, name: &str) -> String {
+fn word(headers: &hyper::HeaderMap, name: &str) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
     value.chars().take(WORD_MOST).collect()
 }
@@ -341,6 +343,58 @@
     }
 }
 
+/// Records what an engine does in a ring.
+pub struct Watch {
+    ring: Rc<RefCell<Recorder>>,
+}
+
+impl Watch {
+    /// Records into a ring.
+    pub fn new(ring: Rc<RefCell<Recorder>>) -> Watch {
+        Watch { ring }
+    }
+}
+
+impl Observer<Http> for Watch {
+    fn observe(&mut self, note: &Note<'_, Http>, view: &View<'_, Http>) {
+        let (mut ring, now) = (self.ring.borrow_mut(), view.now());
+        if matches!(note, Note::Switched { .. } | Note::Ended { .. }) {
+            return;
+        }
+        if ring.is_due(now) {
+            let host = |host: flaxhead_engine::HostView| {
+                let (name, server, dial) = (host.name.to_owned().into(), host.server, host.dial);
+                Item::Host { server, host: name, dial }
+            };
+            let calls = view.calls().map(|open| {
+                let id = word(&open.request.headers, "x-call-id").into();
+                Item::Open { call: open.call, id }
+            });
+            ring.open(now, view.settings(), view.balancer(), view.hosts().map(host).chain(calls));
+        }
+        match *note {
+            Note::Asked { call, request, .. } => {
+                let word = |name| word(&request.headers, name);
+                let budget_ms = word("x-budget-ms").parse().unwrap_or(0);
+                let [class, caller, id] =
+                    ["x-call-class", "x-caller", "x-call-id"].map(|name| word(name).into());
+                ring.put(now, Item::Asked { call, class, caller, id, budget_ms });
+            }
+            Note::Listed { list, servers } => {
+                let hosts = servers.iter().copied().zip(list.hosts.iter().map(Cow::Borrowed)).collect();
+                ring.put(now, Item::Line { seq: list.seq, whole: list.whole, hosts });
+            }
+            Note::Fed(event) => ring.begin(now, event),
+            Note::Did(action) => ring.put(now, Item::Did(Cow::Borrowed(action))),
+            Note::Stepped => ring.end(),
+            Note::Answered { call, reply } => {
+                ring.put(now, Item::Answered { call, code: code(reply).as_u16() });
+            }
+            Note::Switched { .. } | Note::Ended { .. } => {}
+        }
+    }
+}
+
 /// Writes the ring out whenever the signal comes.
 #[derive(Debug)]
 pub struct Dumps {
@@ -360,12 +414,14 @@
     }
 
     /// Waits for the signal, for good. One that comes during a dump leads to another behind it.
-    pub async fn serve(mut self, driver: Handle) {
+    pub async fn serve(mut self, ring: Rc<RefCell<Recorder>>) {
         while self.signal.recv().await.is_some() {
             // One file is in hand at a time; one that the ring drops meanwhile is left out.
             let mut bytes = Vec::new();
-            for number in driver.captured(Recorder::numbers).unwrap_or_default() {
-                let Some(name) = driver.captured(|ring| ring.copy(number, &mut bytes)).flatten() else {
+            let numbers = ring.borrow().numbers();
+            for number in numbers {
+                let copied = ring.borrow().copy(number, &mut bytes);
+                let Some(name) = copied else {
                     tracing::info!("capture: file {number} was dropped before it was written");
                     continue;
                 };
--- a/proxy/src/upstream.rs
+++ b/proxy/src/http/exchange.rs
@@ -1,5 +1,6 @@
 //! Connections to hosts, and one exchange on one of them.
 
+use flaxhead_engine::{spawn, BoxError, Meter, Task};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -8,8 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use ochrepond::{Load, Outcome};
-use std::cell::{Cell, RefCell};
-use std::future::Future;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -17,7 +17,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 /// Most bytes of a body, either way.
@@ -27,27 +26,6 @@
 /// Time for the rest of an answer that is not passed on; past it the connection is given up instead.
 const REST: Duration = Duration::from_millis(20);
 
-/// Any failure, in words.
-pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
-
-/// Bytes that were written for one attempt: none means that no host can have seen it.
-pub type Meter = Rc<Cell<usize>>;
-
-/// A task that ends with its owner.
-#[derive(Debug)]
-pub struct Task(AbortHandle);
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// Runs a future on this thread for as long as the returned task is kept.
-pub fn spawn(future: impl Future + 'static) -> Task {
-    Task(tokio::task::spawn_local(async move { drop(future.await) }).abort_handle())
-}
-
 /// Opens a TCP connection without Nagle's delay.
 pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
@@ -81,9 +59,9 @@
     }
 }
 
-/// How an attempt ended.
+/// How an exchange ended.
 #[derive(Debug)]
-pub struct End {
+pub struct Done {
     /// How.
     pub outcome: Outcome,
     /// The host's report on its load.
@@ -94,10 +72,10 @@
     pub connection: Option<Connection>,
 }
 
-impl End {
-    /// An end without an answer.
-    pub fn without_answer(outcome: Outcome) -> End {
-        End { outcome, load: Load::default(), answer: None, connection: None }
+impl Done {
+    /// One without an answer.
+    pub fn without_answer(outcome: Outcome) -> Done {
+        Done { outcome, load: Load::default(), answer: None, connection: None }
     }
 }
 
@@ -107,12 +85,12 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
     meter: &Meter,
-) -> Option<End> {
+) -> Option<Done> {
     connection.meter.replace(meter.clone());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) if meter.get() == 0 => return None,
-        Err(error) => return Some(End::without_answer(broken(&error))),
+        Err(error) => return Some(Done::without_answer(broken(&error))),
     };
     let (head, body) = response.into_parts();
     let load = head.headers.get("x-load-report").and_then(|v| v.to_str().ok()).map(load).unwrap_or_default();
@@ -133,7 +111,7 @@
     };
     // Ready again before the outcome is told: else the next request would find no idle connection.
     let again = whole && matches!(timeout(REST, connection.sender.ready()).await, Ok(Ok(())));
-    Some(End { outcome, load, answer, connection: again.then_some(connection) })
+    Some(Done { outcome, load, answer, connection: again.then_some(connection) })
 }
 
 /// What an exchange proves that broke after writing. An answer that cannot be read is no reset, but the request
--- a/proxy/src/server.rs
+++ b/proxy/src/http/front.rs
@@ -1,8 +1,10 @@
 //! The application's side: takes requests in and gives each its one answer.
 
-use crate::access::{self, Admitted};
-use crate::driver::{Ask, Forward, Handle, Reply};
-use crate::upstream::{BODY_MOST, HEAD_MOST};
+use super::exchange::{BODY_MOST, HEAD_MOST};
+use super::{code, Engine, Forward, Reply};
+use crate::config::Config;
+use crate::features::access::{self, Admitted};
+use flaxhead_engine::Ask;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -42,6 +44,15 @@
 /// Pause after a failure to accept, which descriptors that are set free must end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// What a front hands requests to, and what it checks them by.
+#[derive(Clone)]
+pub struct Driver {
+    /// Gives each its answer.
+    pub engine: Engine,
+    /// Names of classes and tenants, and the limits.
+    pub config: Rc<Config>,
+}
+
 /// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
 /// next one from starting.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
@@ -55,7 +66,7 @@
 /// between requests and returns when none is left. Whom it serves `access` says, if the operators do.
 pub async fn serve(
     listener: TcpListener,
-    driver: Handle,
+    driver: Driver,
     access: Option<Access>,
     stop: impl Future<Output = ()>,
 ) {
@@ -99,7 +110,7 @@
 
 /// The connections of clients.
 struct Clients {
-    driver: Handle,
+    driver: Driver,
     access: Option<Rc<Access>>,
     graceful: GracefulShutdown,
     open: Vec<Client>,
@@ -122,7 +133,7 @@
 
     fn has_room(&mut self) -> bool {
         self.open.retain(|client| !client.task.is_finished());
-        self.open.len() < self.driver.config().connections_each_way()
+        self.open.len() < self.driver.config.connections_each_way()
     }
 
     fn serve(&mut self, stream: TcpStream, peer: IpAddr) {
@@ -152,7 +163,7 @@
 
 /// What a client's connection needs to be served.
 struct Conversation {
-    driver: Handle,
+    driver: Driver,
     idle: Rc<Cell<Option<Instant>>>,
     watcher: Watcher,
     /// When its first request must have come, whole.
@@ -202,19 +213,19 @@
 type Answer = Response<Full<Bytes>>;
 
 /// Answers a request; `proper` is set once one has come whole.
-async fn answer(driver: Handle, request: Request<Incoming>, proper: &Cell<bool>) -> Answer {
+async fn answer(driver: Driver, request: Request<Incoming>, proper: &Cell<bool>) -> Answer {
     let arrived = Instant::now();
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/_health") => {
             proper.set(true);
-            plain(if driver.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+            plain(if driver.engine.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         }
         (_, "/_health") => plain(StatusCode::METHOD_NOT_ALLOWED),
         (_, "/api") => match take_in(&driver, request, arrived).await {
             Ok((ask, forward)) => {
                 proper.set(true);
-                let reply = driver.request(ask, forward).reply().await;
-                match (reply.code(), reply) {
+                let reply = driver.engine.request(ask, forward).reply().await;
+                match (code(&reply), reply) {
                     (_, Reply::Served(answer)) => served(answer),
                     (code, Reply::Refused(after)) => refused(code, after),
                     (code, Reply::Failed) => plain(code),
@@ -228,12 +239,13 @@
 
 /// Reads a request whole. What cannot be used is turned away with a status; the module never sees it.
 async fn take_in(
-    driver: &Handle,
+    driver: &Driver,
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<(Ask, Forward), StatusCode> {
     let (head, body) = request.into_parts();
-    let (mut ask, budget) = ask(driver, &head.method, &head.headers).ok_or(StatusCode::BAD_REQUEST)?;
+    let (mut ask, budget) =
+        ask(&driver.config, &head.method, &head.headers).ok_or(StatusCode::BAD_REQUEST)?;
     ask.deadline = arrived + budget.saturating_sub(WAY_BACK);
     if body.size_hint().lower() > BODY_MOST as u64 {
         return Err(StatusCode::PAYLOAD_TOO_LARGE);
@@ -251,8 +263,7 @@
 
 /// What the head says of a request; `None` if its id, class or budget is missing, double or unusable, or its method
 /// is not the class's: no client sends that, and a host would meet a request that is nobody's.
-fn ask(driver: &Handle, method: &Method, headers: &HeaderMap) -> Option<(Ask, Duration)> {
-    let config = driver.config();
+fn ask(config: &Config, method: &Method, headers: &HeaderMap) -> Option<(Ask, Duration)> {
     single(headers, "x-call-id").filter(|id| !id.is_empty())?;
     let class = place(&config.classes, single(headers, "x-call-class")?)?;
     let spec = config.settings.classes.get(class)?;
--- /dev/null
+++ b/proxy/src/http/mod.rs
@@ -0,0 +1,23 @@
+//! HTTP/1.1, both ways: the front that takes the application's requests in, and the transport that carries them to
+//! hosts.
+
+mod exchange;
+pub mod front;
+mod reuse;
+mod transport;
+
+pub use transport::{Forward, Http};
+
+/// The engine as the daemon has it.
+pub type Engine = flaxhead_engine::Engine<Http>;
+/// The answer of a call.
+pub type Reply = flaxhead_engine::Reply<hyper::Response<hyper::body::Bytes>>;
+
+/// The status that a client gets.
+pub fn code(reply: &Reply) -> hyper::StatusCode {
+    match reply {
+        Reply::Served(answer) => answer.status(),
+        Reply::Refused(_) => hyper::StatusCode::SERVICE_UNAVAILABLE,
+        Reply::Failed => hyper::StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/proxy/src/http/transport.rs
@@ -0,0 +1,224 @@
+//! The transport to hosts: one request at a time on a connection, idle ones kept for the next.
+
+use super::exchange::{exchange, Connection, Done};
+use super::reuse::Reuse;
+use flaxhead_engine::{End, Meter, Target, Transport};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
+use ochrepond::{Outcome, ServerId};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fmt::Debug;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Share of the time for which hosts keep an idle connection, after which it is no longer used.
+const IDLE_PART: f64 = 0.9;
+
+/// A client's request as hosts get it.
+#[derive(Debug)]
+pub struct Forward {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: Uri,
+    /// Its headers, without those of the client's connection.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Forward {
+    /// The request for one attempt, which is given up at `until`.
+    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        request.headers_mut().insert("x-budget-ms", HeaderValue::from(left.max(1)));
+        request
+    }
+}
+
+/// This proxy's idle connections to a host, the most recently used last.
+#[derive(Debug, Default)]
+struct Pool {
+    /// Where something new may be sent to; `None`: nowhere.
+    dial: Option<SocketAddr>,
+    idle: Vec<(Instant, Connection)>,
+}
+
+/// Figures for the log.
+#[derive(Debug, Default)]
+struct Counts {
+    opened: u64,
+    open_failed: u64,
+    broken_reuse: u64,
+}
+
+#[derive(Debug)]
+struct Pools {
+    hosts: HashMap<ServerId, Pool>,
+    reuse: Reuse,
+    counts: Counts,
+    /// One reference for each open connection to a host, and this one.
+    slots: Rc<()>,
+    connections_most: usize,
+    connect_timeout: Duration,
+    /// For how long a connection is kept idle: a request must not cross its host's close.
+    keep: Duration,
+}
+
+/// Connections to hosts.
+#[derive(Clone, Debug)]
+pub struct Http(Rc<RefCell<Pools>>);
+
+impl Http {
+    /// At most so many connections, each up within `connect_timeout`, to hosts that keep an idle one for
+    /// `conn_idle`.
+    pub fn new(connections_most: usize, connect_timeout: Duration, conn_idle: Duration) -> Http {
+        Http(Rc::new(RefCell::new(Pools {
+            hosts: HashMap::new(),
+            reuse: Reuse::default(),
+            counts: Counts::default(),
+            slots: Rc::default(),
+            connections_most,
+            connect_timeout,
+            keep: conn_idle.mul_f64(IDLE_PART),
+        })))
+    }
+
+    async fn attempt(
+        self,
+        target: Target,
+        kept: Option<(Duration, Connection)>,
+        forward: Rc<Forward>,
+        meter: Meter,
+    ) -> Done {
+        if let Some((idle, connection)) = kept {
+            let done = exchange(connection, forward.request(target.until), &meter).await;
+            let broken = done.as_ref().is_none_or(|done| done.outcome == Outcome::Reset);
+            let mut pools = self.0.borrow_mut();
+            pools.counts.broken_reuse += u64::from(broken);
+            pools.reuse.note(idle, broken);
+            if let Some(done) = done {
+                return done;
+            }
+        }
+        // Nothing has been written yet, so this is no second sending.
+        let (slot, limit) = {
+            let mut pools = self.0.borrow_mut();
+            (pools.slot(), pools.connect_timeout)
+        };
+        let Some(slot) = slot else { return Done::without_answer(Outcome::NotSent) };
+        let opened = Connection::open(target.address, limit, slot).await;
+        {
+            let counts = &mut self.0.borrow_mut().counts;
+            *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1;
+        }
+        let done = match opened {
+            Ok(connection) => exchange(connection, forward.request(target.until), &meter).await,
+            Err(_) => None,
+        };
+        done.unwrap_or_else(|| Done::without_answer(Outcome::NoConnection))
+    }
+}
+
+impl Transport for Http {
+    type Request = Forward;
+    type Answer = Response<Bytes>;
+
+    fn host(&self, server: ServerId, dial: Option<SocketAddr>, restarted: bool) {
+        let mut pools = self.0.borrow_mut();
+        let pool = pools.hosts.entry(server).or_default();
+        if dial.is_none() || restarted {
+            pool.idle.clear();
+        }
+        pool.dial = dial;
+    }
+
+    fn forget(&self, server: ServerId) {
+        self.0.borrow_mut().hosts.remove(&server);
+    }
+
+    fn send(
+        &self,
+        target: Target,
+        forward: &Rc<Forward>,
+        meter: &Meter,
+    ) -> impl Future<Output = End<Response<Bytes>>> + use<> + 'static {
+        let kept = self.0.borrow_mut().kept(&target);
+        let (http, forward, meter) = (self.clone(), forward.clone(), meter.clone());
+        async move {
+            let Done { outcome, load, answer, connection } =
+                http.clone().attempt(target, kept, forward, meter).await;
+            // Back before the outcome is told: else the call that it lets go would open another.
+            if let Some(connection) = connection {
+                http.0.borrow_mut().keep(&target, connection);
+            }
+            End { outcome, load, answer }
+        }
+    }
+
+    /// Closes connections that have stood idle for nearly as long as hosts keep them.
+    fn sweep(&self) {
+        let pools = &mut *self.0.borrow_mut();
+        pools.reuse.forget();
+        pools.hosts.values_mut().for_each(|pool| pool.idle.retain(|(since, _)| since.elapsed() < pools.keep));
+    }
+
+    fn figures(&self) -> impl Debug {
+        let pools = self.0.borrow();
+        let idle: usize = pools.hosts.values().map(|pool| pool.idle.len()).sum();
+        let open = Rc::strong_count(&pools.slots) - 1;
+        let Counts { opened, open_failed, broken_reuse } = pools.counts;
+        Figures { open, idle, opened, open_failed, broken_reuse }
+    }
+}
+
+/// Connections, as the log shows them.
+#[derive(Debug)]
+#[expect(dead_code, reason = "read by Debug")]
+struct Figures {
+    open: usize,
+    idle: usize,
+    opened: u64,
+    open_failed: u64,
+    broken_reuse: u64,
+}
+
+impl Pools {
+    /// An idle connection that is fit for an attempt, and for how long it has been idle.
+    fn kept(&mut self, target: &Target) -> Option<(Duration, Connection)> {
+        let Pools { hosts, reuse, keep, .. } = self;
+        let idle = &mut hosts.get_mut(&target.server)?.idle;
+        // Old ones and those closed meanwhile are passed over.
+        idle.retain(|(since, connection)| since.elapsed() < *keep && connection.is_ready());
+        // A request that must not go again goes on no connection that may have been dropped without a sign.
+        let fit = |since: &Instant| !target.once || !reuse.is_stale(since.elapsed());
+        let (since, connection) = idle.pop_if(|(since, _)| fit(since))?;
+        Some((since.elapsed(), connection))
+    }
+
+    fn keep(&mut self, target: &Target, connection: Connection) {
+        let pool = self.hosts.get_mut(&target.server).filter(|pool| pool.dial == Some(target.address));
+        if let Some(pool) = pool {
+            pool.idle.push((Instant::now(), connection));
+        }
+    }
+
+    /// A place for one more connection to a host; the oldest idle one makes room when there is none.
+    fn slot(&mut self) -> Option<Rc<()>> {
+        if Rc::strong_count(&self.slots) > self.connections_most {
+            let oldest = self.hosts.values_mut().filter(|pool| !pool.idle.is_empty());
+            oldest.min_by_key(|pool| pool.idle[0].0)?.idle.remove(0);
+        }
+        Some(self.slots.clone())
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,21 +3,18 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod access;
-pub mod audit;
-pub mod capture;
 pub mod config;
-pub mod discovery;
-pub mod driver;
 pub mod features;
+pub mod http;
 pub mod output;
 pub mod program;
-pub mod server;
 pub mod side;
-pub mod status;
-pub mod upstream;
 
 use config::Config;
+use flaxhead_discovery::Discovery;
+use flaxhead_engine::{spawn, Engine, Setup};
+use http::front::{self, Driver};
+use http::Http;
 use side::Side;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -33,23 +30,31 @@
 /// address in `discovery` and the features of `side`. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
     config: Config,
-    mut side: Side,
+    side: Side,
     listener: TcpListener,
     mut discovery: watch::Receiver<SocketAddr>,
     stop: impl Future<Output = ()>,
 ) {
-    let trail = side.trail.clone();
-    let driver = driver::Handle::start(Rc::new(config), side.hooks());
-    let _dumps = side.dumps.map(|dumps| upstream::spawn(dumps.serve(driver.clone())));
-    let _status = side.status.map(|page| upstream::spawn(page.serve(driver.clone())));
-    let moving = driver.clone();
-    let _moving = upstream::spawn(async move {
+    let Config { seed, connect_timeout, conn_idle, .. } = config;
+    let setup = Setup { seed, settings: config.settings.clone(), known: config.known.clone() };
+    let transport = Http::new(config.connections_each_way(), connect_timeout, conn_idle);
+    let source = Rc::new(Discovery(config.discovery));
+    let engine = Engine::start(setup, transport, source, side.observers());
+    let (trail, ring, board) = (side.trail, side.recorder, side.board);
+    let _dumps = side.dumps.zip(ring).map(|(dumps, ring)| spawn(dumps.serve(ring)));
+    let classes = config.classes.clone();
+    let _status = side.status.map(|page| spawn(page.serve(engine.clone(), board, classes)));
+    let moving = engine.clone();
+    let _moving = spawn(async move {
         while discovery.changed().await.is_ok() {
-            moving.watch_at(*discovery.borrow_and_update());
+            let address = *discovery.borrow_and_update();
+            tracing::info!("discovery is at {address}");
+            moving.watch_at(Rc::new(Discovery(address)));
         }
     });
-    server::serve(listener, driver.clone(), side.access, stop).await;
-    driver.log_counts();
+    let driver = Driver { engine: engine.clone(), config: Rc::new(config) };
+    front::serve(listener, driver, side.access, stop).await;
+    engine.log_counts();
     if let Some(trail) = trail {
         trail.close().await;
     }
--- a/proxy/src/program.rs
+++ b/proxy/src/program.rs
@@ -1,12 +1,12 @@
 //! The program's command line: it starts the proxy, which follows discovery to another address on SIGHUP and stops
 //! on SIGTERM, or checks and replays what one has written.
 
-use crate::audit::{self, Actor, Verdict};
-use crate::capture::replay::{self, Line, Report};
 use crate::config::Config;
+use crate::features::audit::{self, Actor, Verdict};
+use crate::features::capture::replay::{self, Line, Report};
 use crate::features::Features;
+use crate::http::front;
 use crate::output;
-use crate::server;
 use crate::side::Side;
 use clap::{Args, Parser, Subcommand};
 use std::ffi::OsString;
@@ -160,7 +160,7 @@
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let (moved, discovery) = watch::channel(config.discovery);
-        let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let listener = front::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let side = Side::open(features, &mut config)?;
         let note = {
             let trail = side.trail.clone();
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -1,15 +1,18 @@
 //! The features that are switched on, opened before the proxy serves: what cannot be opened ends the start.
 
-use crate::audit::Trail;
-use crate::capture::{Dumps, Recorder};
 use crate::config::Config;
-use crate::driver::Hooks;
+use crate::features::audit::Trail;
+use crate::features::capture::{Dumps, Recorder, Watch};
+use crate::features::status::{Page, Shared};
 use crate::features::Features;
-use crate::status::{Board, Page};
-use crate::{output, server};
+use crate::http::{front, Http};
+use crate::output;
+use flaxhead_engine::Observer;
 use ochrepond::Access;
+use std::cell::RefCell;
 use std::fs;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::signal::unix::{signal, SignalKind};
 
 /// What is on.
@@ -17,10 +20,12 @@
 pub struct Side {
     /// The status page.
     pub status: Option<Page>,
+    /// What is noted for it.
+    pub board: Shared,
     /// The audit trail.
     pub trail: Option<Trail>,
     /// Capture's ring.
-    pub recorder: Option<Recorder>,
+    pub recorder: Option<Rc<RefCell<Recorder>>>,
     /// What writes it out.
     pub dumps: Option<Dumps>,
     /// Address lists.
@@ -34,7 +39,7 @@
         let status = status.map(|(port, refresh)| {
             let address = SocketAddr::new(config.listen.ip(), port);
             let listener =
-                server::listen(address).map_err(|e| format!("[status] listen_port: {address}: {e}"))?;
+                front::listen(address).map_err(|e| format!("[status] listen_port: {address}: {e}"))?;
             Ok::<_, String>(Page::new(listener, refresh))
         });
         let status = status.transpose()?;
@@ -54,8 +59,9 @@
             let asked = signal(SignalKind::user_defined1()).map_err(|e| format!("[capture] {e}"))?;
             Ok::<_, String>(Dumps::new(asked, capture.dir.clone()))
         });
-        let recorder = capture.map(|capture| Recorder::new(capture, config.seed));
-        let side = Side { status, trail, recorder, access: features.access, dumps: dumps.transpose()? };
+        let recorder = capture.map(|capture| Rc::new(RefCell::new(Recorder::new(capture, config.seed))));
+        let (access, dumps, board) = (features.access, dumps.transpose()?, Shared::default());
+        let side = Side { status, board, trail, recorder, access, dumps };
         config.side_descriptors = side.descriptors();
         Ok(side)
     }
@@ -66,9 +72,11 @@
         status + trail + self.dumps.as_ref().map_or(0, Dumps::descriptors)
     }
 
-    /// What the driver tells the features.
-    pub fn hooks(&mut self) -> Hooks {
-        let capture = self.recorder.take();
-        Hooks { board: self.status.as_ref().map(|_| Board::default()), trail: self.trail.clone(), capture }
+    /// What watches the engine: nothing where nothing is on.
+    pub fn observers(&self) -> Vec<Box<dyn Observer<Http>>> {
+        let board = self.status.as_ref().map(|_| Box::new(self.board.clone()) as Box<dyn Observer<Http>>);
+        let trail = self.trail.as_ref().map(|trail| Box::new(trail.clone()) as _);
+        let ring = self.recorder.as_ref().map(|ring| Box::new(Watch::new(ring.clone())) as _);
+        [board, trail, ring].into_iter().flatten().collect()
     }
 }
