Name each package for what it does, and move the module to policy/

Need: ochrepond and nettleworks said nothing of what is in them, and the root was a package and a workspace at once.

No line of code changes otherwise.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -4,7 +4,9 @@
 
 mod wire;
 
-use ochrepond::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId};
+use flaxhead_policy::{
+    Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId,
+};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use wire::{Batch, Command, Input, Reply};
@@ -82,7 +84,7 @@
             let facts = need(input.facts, verb, "facts")?;
             let seed = need(input.seed, verb, "seed")?;
             let (settings, classes, tenants) =
-                ochrepond_settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
+                flaxhead_settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
             let balancer = Balancer::new(seed, settings);
             let (numbers, names) = (HashMap::new(), HashMap::new());
             let instance = Instance { balancer, classes, tenants, numbers, names, next: 0 };
@@ -225,7 +227,7 @@
                 }
             }
             Err(fault) => {
-                eprintln!("ochrepond-adapter: line {}: {fault}", index + 1);
+                eprintln!("flaxhead-adapter: line {}: {fault}", index + 1);
                 std::process::exit(1);
             }
         }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! Messages of the wire, as they are read and written.
 
-use ochrepond::{CellId, Entry, Load, Outcome, ServerId, State};
-use ochrepond_settings::zone;
+use flaxhead_policy::{CellId, Entry, Load, Outcome, ServerId, State};
+use flaxhead_settings::zone;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -10,7 +10,7 @@
 const JOB: &str = r#"{"clock_us":9,"input":[{"verb":"JOB_IN","proxy":3,"call":"r-x","tier_class":"a","time_budget_us":900000}]}"#;
 
 fn run(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ochrepond-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_flaxhead-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/engine/src/call.rs
+++ b/engine/src/call.rs
@@ -2,7 +2,7 @@
 
 use crate::task::Task;
 use crate::transport::{Meter, Transport};
-use ochrepond::{CallId, ClassId, Event, Load, Micros, Outcome, ServerId, TenantId};
+use flaxhead_policy::{CallId, ClassId, Event, Load, Micros, Outcome, ServerId, TenantId};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -1,6 +1,6 @@
 //! The engine's clock.
 
-use ochrepond::Micros;
+use flaxhead_policy::Micros;
 use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::source::Source;
 use crate::task::{spawn, Task};
 use crate::transport::{End, Meter, Target, Transport};
-use ochrepond::{
+use flaxhead_policy::{
     Action, Balancer, CallId, CellId, Entry, Event, ListKind, Micros, Outcome, Repeat, ServerId, Settings,
     State,
 };
@@ -240,7 +240,7 @@
                 Health::Terminating => State::Draining,
                 Health::Gone => State::Gone,
             };
-            let (zone, cell) = (ochrepond_settings::zone(&entry.site), CellId(entry.block));
+            let (zone, cell) = (flaxhead_settings::zone(&entry.site), CellId(entry.block));
             let started = entry.born_ms.saturating_mul(1_000);
             entries.push(Entry { server, state, zone, cell, started, weight: entry.share });
         }
--- a/engine/src/list.rs
+++ b/engine/src/list.rs
@@ -1,6 +1,6 @@
 //! The list of hosts, in the platform's form.
 
-use ochrepond::ServerId;
+use flaxhead_policy::ServerId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/engine/src/observe.rs
+++ b/engine/src/observe.rs
@@ -4,7 +4,7 @@
 use crate::engine::Seat;
 use crate::list::{Health, List};
 use crate::transport::Transport;
-use ochrepond::{Action, Balancer, CallId, ClassId, Event, Micros, Outcome, ServerId, Settings};
+use flaxhead_policy::{Action, Balancer, CallId, ClassId, Event, Micros, Outcome, ServerId, Settings};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/engine/src/transport.rs
+++ b/engine/src/transport.rs
@@ -1,6 +1,6 @@
 //! What carries attempts to hosts.
 
-use ochrepond::{Load, Outcome, ServerId};
+use flaxhead_policy::{Load, Outcome, ServerId};
 use std::cell::Cell;
 use std::fmt::Debug;
 use std::future::Future;
--- a/lab/src/load/trace.rs
+++ b/lab/src/load/trace.rs
@@ -13,7 +13,7 @@
 use super::schedule::Arrival;
 use crate::experiment::{Experiment, Problem};
 use crate::model::node::Micros;
-use nettleworks::features::capture::replay::{requests, Asked};
+use flaxhead_proxy::features::capture::replay::{requests, Asked};
 use serde::Deserialize;
 use std::path::Path;
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -157,7 +157,7 @@
         let _ = std::io::stdin().read_to_end(&mut Vec::new());
         std::process::exit(1);
     });
-    nettleworks::program::main(std::iter::once("flaxhead".into()).chain(arguments))
+    flaxhead_proxy::program::main(std::iter::once("flaxhead".into()).chain(arguments))
 }
 
 /// On Ctrl-C the proxies go first, then this program.
--- a/src/lib.rs
+++ b/policy/src/lib.rs
@@ -1,10 +1,10 @@
-//! ochrepond makes the decisions of a sidecar balancer for service-to-service calls: which server
+//! Makes the decisions of a sidecar balancer for service-to-service calls: which server
 //! gets a call, when a call waits, goes again, is refused or fails. It does no I/O and reads no clock.
 //!
 //! A client proxy makes one [`Balancer`], feeds it [`Event`]s and carries out the [`Action`]s:
 //!
 //! ```
-//! use ochrepond::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
+//! use flaxhead_policy::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
 //!
 //! let mut balancer = Balancer::new(7, Settings::default());
 //! let mut actions = Vec::new();
@@ -39,5 +39,5 @@
 
 /// The README's example is compiled as a test too.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../README.md")]
 struct Readme;
--- a/tests/access.rs
+++ b/policy/tests/access.rs
@@ -1,6 +1,6 @@
 //! Who is allowed in.
 
-use ochrepond::{Access, Admission, Networks};
+use flaxhead_policy::{Access, Admission, Networks};
 use std::net::IpAddr;
 
 fn networks(text: &str) -> Networks {
--- a/tests/common/mod.rs
+++ b/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small driver of the balancer for tests: it plays the proxy and records what it is told to do.
 #![allow(dead_code)]
 
-use ochrepond::*;
+use flaxhead_policy::*;
 
 pub const MS: Micros = 1_000;
 
--- a/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use flaxhead_policy::*;
 use std::collections::BTreeMap;
 
 /// Fills a single server's first budget (1 step x 1 call with seven balancers) and leaves the call out.
--- a/tests/random.rs
+++ b/policy/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use flaxhead_policy::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use flaxhead_policy::*;
 
 const CELL: Repeat = Repeat::Guarded { scope: Scope::Cell, window: 400 * MS };
 
--- a/tests/starving.rs
+++ b/policy/tests/starving.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use flaxhead_policy::*;
 
 const SLOW: Micros = 400 * MS;
 const FAST: Micros = 10 * MS;
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -1,7 +1,7 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
 use flaxhead_engine::List;
-use ochrepond::Settings;
+use flaxhead_policy::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -95,7 +95,7 @@
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?;
         let (settings, classes, tenants) =
-            ochrepond_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
+            flaxhead_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
         let site = Site::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?.limits;
         if file.limits.sockets < 2 * SPARE_DESCRIPTORS {
             return Err(format!("limits: {} sockets are too few", file.limits.sockets));
--- a/proxy/src/features/access.rs
+++ b/proxy/src/features/access.rs
@@ -1,8 +1,8 @@
 //! Address lists: whom a connection is from, by its peer or by the PROXY header of a trusted front, and whether it
-//! may come. What is allowed the module's crate says ([`ochrepond::Access`]).
+//! may come. What is allowed the module's crate says ([`flaxhead_policy::Access`]).
 
 use super::sections::{Problem, Section};
-use ochrepond::{Access, Admission};
+use flaxhead_policy::{Access, Admission};
 use ppp::{v1, v2};
 use std::io::Cursor;
 use std::net::IpAddr;
--- a/proxy/src/features/capture.rs
+++ b/proxy/src/features/capture.rs
@@ -12,7 +12,7 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use flaxhead_engine::{Host, Note, Observer, View};
-use ochrepond::{Action, Balancer, CallId, Event, Micros, ServerId, Settings as Told};
+use flaxhead_policy::{Action, Balancer, CallId, Event, Micros, ServerId, Settings as Told};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::cell::RefCell;
--- a/proxy/src/features/capture/replay.rs
+++ b/proxy/src/features/capture/replay.rs
@@ -4,7 +4,7 @@
 use super::{Item, Opened, Record, Version, FOLLOWS, LENGTH, MARK, SEED};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
-use ochrepond::{Action, Balancer, CallId, Event, Micros, Outcome, ServerId};
+use flaxhead_policy::{Action, Balancer, CallId, Event, Micros, Outcome, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read};
@@ -272,7 +272,7 @@
 impl Replayed {
     fn new() -> Replayed {
         Replayed {
-            balancer: Balancer::new(0, ochrepond::Settings::default()),
+            balancer: Balancer::new(0, flaxhead_policy::Settings::default()),
             origin: 0,
             hosts: BTreeMap::new(),
             ids: BTreeMap::new(),
@@ -298,7 +298,7 @@
             }
             Item::Fed(event) => {
                 self.compare(run, false);
-                if !ochrepond::bounded(at, &event) {
+                if !flaxhead_policy::bounded(at, &event) {
                     return None;
                 }
                 if let Event::Outcome { call, outcome: Outcome::Served, .. } = *event {
@@ -405,7 +405,7 @@
 mod tests {
     use super::super::{Opening, Recorder, Settings as Ring};
     use super::*;
-    use ochrepond::{Class, ClassId, Entry, ListKind, Load, Repeat, Settings};
+    use flaxhead_policy::{Class, ClassId, Entry, ListKind, Load, Repeat, Settings};
     use std::borrow::Cow;
 
     /// A proxy without sockets: what it would feed the module in the course of some requests.
--- a/proxy/src/features/mod.rs
+++ b/proxy/src/features/mod.rs
@@ -8,7 +8,7 @@
 pub mod status;
 
 use crate::output;
-use ochrepond::Access;
+use flaxhead_policy::Access;
 pub use sections::{Problem, Section};
 use std::path::Path;
 
--- a/proxy/src/features/status.rs
+++ b/proxy/src/features/status.rs
@@ -4,6 +4,7 @@
 use super::sections::{Problem, Section};
 use crate::http::{Engine, Http};
 use flaxhead_engine::{Health, Note, Observer, View};
+use flaxhead_policy::{ClassId, Outcome, ServerId};
 use html_escape::encode_safe;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -11,7 +12,6 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ochrepond::{ClassId, Outcome, ServerId};
 use serde::Serialize;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -1,6 +1,7 @@
 //! Connections to hosts, and one exchange on one of them.
 
 use flaxhead_engine::{spawn, BoxError, Meter, Task};
+use flaxhead_policy::{Load, Outcome};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -8,7 +9,6 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use ochrepond::{Load, Outcome};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
--- a/proxy/src/http/transport.rs
+++ b/proxy/src/http/transport.rs
@@ -3,11 +3,11 @@
 use super::exchange::{exchange, Connection, Done};
 use super::reuse::Reuse;
 use flaxhead_engine::{End, Meter, Target, Transport};
+use flaxhead_policy::{Outcome, ServerId};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
-use ochrepond::{Outcome, ServerId};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fmt::Debug;
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,5 +1,5 @@
-//! nettleworks is a client proxy: it takes an application's requests and passes each to a host of a fleet, as
-//! the decision module `ochrepond` says.
+//! The daemon flaxhead, a client proxy: it takes an application's requests over HTTP/1.1 and passes each to a host of
+//! a fleet, as the decision module `flaxhead_policy` says.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -4,5 +4,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    nettleworks::program::main(std::env::args_os())
+    flaxhead_proxy::program::main(std::env::args_os())
 }
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -8,7 +8,7 @@
 use crate::http::{front, Http};
 use crate::output;
 use flaxhead_engine::Observer;
-use ochrepond::Access;
+use flaxhead_policy::Access;
 use std::cell::RefCell;
 use std::fs;
 use std::net::SocketAddr;
--- a/proxy/tests/access.rs
+++ b/proxy/tests/access.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
-use nettleworks::config::Config;
-use nettleworks::side::Side;
-use ochrepond::Access;
+use flaxhead_policy::Access;
+use flaxhead_proxy::config::Config;
+use flaxhead_proxy::side::Side;
 use std::fs;
 use std::net::SocketAddr;
 use std::slice::from_ref;
--- a/proxy/tests/capture.rs
+++ b/proxy/tests/capture.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use nettleworks::features::capture::replay;
+use flaxhead_proxy::features::capture::replay;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::Command;
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -2,8 +2,8 @@
 //! conditions, and `run` ends it with a failure when they do not come.
 #![allow(dead_code)]
 
-use nettleworks::config::Config;
-use nettleworks::side::Side;
+use flaxhead_proxy::config::Config;
+use flaxhead_proxy::side::Side;
 use serde_json::json;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -320,11 +320,11 @@
         let config = configuration(discovery.address, hosts, change);
         let mut config = Config::parse(&config).expect("a good configuration");
         let side = side(&mut config);
-        let listener = nettleworks::http::front::listen(config.listen).expect("it listens");
+        let listener = flaxhead_proxy::http::front::listen(config.listen).expect("it listens");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = oneshot::channel();
         let (discovery, moves) = watch::channel(config.discovery);
-        let task = spawn_local(nettleworks::run(config, side, listener, moves, async {
+        let task = spawn_local(flaxhead_proxy::run(config, side, listener, moves, async {
             let _ = stopped.await;
         }));
         Proxy { address, discovery, stop: Some(stop), task }
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -33,14 +33,14 @@
 #[test]
 fn the_address_can_be_used_again_at_once() {
     run(async {
-        let first =
-            nettleworks::http::front::listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let first = flaxhead_proxy::http::front::listen("127.0.0.1:0".parse().expect("an address"))
+            .expect("it listens");
         let address = first.local_addr().expect("an address");
         let client = TcpStream::connect(address).await.expect("connected");
         drop(first.accept().await.expect("accepted"));
         drop(first);
         // A program that another test starts holds what was open for the moment until it runs.
-        eventually("it listens again", || nettleworks::http::front::listen(address).is_ok()).await;
+        eventually("it listens again", || flaxhead_proxy::http::front::listen(address).is_ok()).await;
         drop(client);
     });
 }
--- a/proxy/tests/status.rs
+++ b/proxy/tests/status.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::*;
-use nettleworks::config::Config;
-use nettleworks::features::status::Page;
-use nettleworks::features::Features;
-use nettleworks::side::Side;
+use flaxhead_proxy::config::Config;
+use flaxhead_proxy::features::status::Page;
+use flaxhead_proxy::features::Features;
+use flaxhead_proxy::side::Side;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::slice::from_ref;
@@ -17,7 +17,7 @@
 /// A proxy with a page that is made anew every 20 ms, and where the page is.
 async fn paged(discovery: &Discovery, hosts: &[Host]) -> (Proxy, SocketAddr) {
     let listener =
-        nettleworks::http::front::listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        flaxhead_proxy::http::front::listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
     let address = listener.local_addr().expect("an address");
     let page = Page::new(listener, Duration::from_millis(20));
     let side = |_: &mut Config| Side { status: Some(page), ..Side::default() };
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use ochrepond::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
+use flaxhead_policy::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use serde_json::Value;
 
