--- a/engine/src/call.rs
+++ b/engine/src/call.rs
@@ -21,6 +21,13 @@
     pub deadline: Instant,
     /// The client has tried before.
     pub resent: bool,
+    /// Most attempts that may reach a host, whatever the module's own limit; [`Ask::UNBOUNDED`]: that alone counts.
+    pub attempts_most: u32,
+}
+
+impl Ask {
+    /// No limit beside the module's.
+    pub const UNBOUNDED: u32 = u32::MAX;
 }
 
 /// The one final answer of a call.
@@ -34,6 +41,33 @@
     Failed,
 }
 
+/// What hosts may have seen of a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trace {
+    /// Attempts of which a byte may have left.
+    pub attempts: u32,
+    /// One of them may have run, or still may.
+    pub may_run: bool,
+}
+
+/// A call's end.
+#[derive(Debug)]
+pub struct Final<A> {
+    /// Its answer.
+    pub reply: Reply<A>,
+    /// What hosts may have seen of it.
+    pub trace: Trace,
+}
+
+/// Bounds what goes out again beyond what the module decides, across all that send with it. It is told the time in
+/// microseconds and must not wait.
+pub trait Retries {
+    /// The first attempt of a call goes out.
+    fn first(&mut self, now: Micros);
+    /// A further one is about to; `false`: it may not, and its call ends.
+    fn again(&mut self, now: Micros) -> bool;
+}
+
 /// A call in hand.
 pub(crate) struct Call<T: Transport> {
     pub request: Rc<T::Request>,
@@ -42,9 +76,12 @@
     pub once: bool,
     pub deadline: Instant,
     /// `None`: it is over.
-    pub reply: Option<oneshot::Sender<Reply<T::Answer>>>,
+    pub reply: Option<oneshot::Sender<Final<T::Answer>>>,
     /// `None`: that attempt has ended.
     pub attempts: Vec<Option<Attempt>>,
+    /// Of the attempts that have ended.
+    pub trace: Trace,
+    pub attempts_most: u32,
 }
 
 /// An attempt that is out.
@@ -57,12 +94,33 @@
     pub _task: Task,
 }
 
+impl Trace {
+    fn note(&mut self, out: &Attempt, outcome: Outcome) {
+        let seen = out.meter.get() > 0;
+        self.attempts += u32::from(seen);
+        self.may_run |= seen && !outcome.never_ran();
+    }
+}
+
 impl<T: Transport> Call<T> {
     /// Whether its client still waits.
     pub fn waits(&self) -> bool {
         self.reply.is_some()
     }
 
+    /// What hosts may have seen of it so far.
+    pub fn trace(&self) -> Trace {
+        let out = self.attempts.iter().flatten().filter(|out| out.meter.get() > 0).count() as u32;
+        Trace { attempts: self.trace.attempts + out, may_run: self.trace.may_run || out > 0 }
+    }
+
+    /// Takes an attempt off those that are out.
+    pub fn take(&mut self, attempt: u32, outcome: Outcome) -> Option<Attempt> {
+        let out = self.attempts.get_mut(attempt as usize)?.take()?;
+        self.trace.note(&out, outcome);
+        Some(out)
+    }
+
     /// Ends the attempts that are unwanted and of which nothing is written yet. Unlike one that is called off,
     /// such an attempt surely never ran.
     pub fn withdraw(
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -1,7 +1,7 @@
 //! Drives the decision module: turns what happens to calls, attempts and hosts into its events, in one order and on
 //! one clock, and carries out its actions. It decides nothing itself.
 
-use crate::call::{ended, Ask, Attempt, Call, Reply};
+use crate::call::{ended, Ask, Attempt, Call, Final, Reply, Retries, Trace};
 use crate::clock::Clock;
 use crate::list::{switches, Health, Healths, Host, List};
 use crate::observe::{Note, Observer, View};
@@ -79,6 +79,7 @@
     transport: T,
     counts: Counts,
     observers: Vec<Box<dyn Observer<T>>>,
+    retries: Option<Box<dyn Retries>>,
 }
 
 /// An engine, shared by the tasks of one thread. No method waits, and none is called from within another.
@@ -94,14 +95,25 @@
 pub struct Waiting<T: Transport> {
     engine: Engine<T>,
     call: CallId,
-    reply: oneshot::Receiver<Reply<T::Answer>>,
+    reply: oneshot::Receiver<Final<T::Answer>>,
 }
 
 impl<T: Transport> Waiting<T> {
     /// The call's final answer.
     pub async fn reply(mut self) -> Reply<T::Answer> {
+        self.end().await.reply
+    }
+
+    /// The same, with what hosts may have seen.
+    pub async fn end(&mut self) -> Final<T::Answer> {
         // The sender is only ever dropped with the call, after an answer or with the process.
-        (&mut self.reply).await.unwrap_or(Reply::Failed)
+        let lost = Final { reply: Reply::Failed, trace: Trace { attempts: 0, may_run: true } };
+        (&mut self.reply).await.unwrap_or(lost)
+    }
+
+    /// Gives the call up; what is out is called off. It says what hosts may have seen.
+    pub fn abandon(self) -> Trace {
+        self.engine.gone(self.call)
     }
 }
 
@@ -112,12 +124,13 @@
 }
 
 impl<T: Transport> Engine<T> {
-    /// Starts the module. Called inside a [`tokio::task::LocalSet`].
+    /// Starts the module; `retries` bounds what goes out again beside it. Called inside a [`tokio::task::LocalSet`].
     pub fn start(
         setup: Setup,
         transport: T,
         source: Rc<dyn Source>,
         observers: Vec<Box<dyn Observer<T>>>,
+        retries: Option<Box<dyn Retries>>,
     ) -> Engine<T> {
         let Setup { seed, settings, known } = setup;
         let pushed = !settings.ask;
@@ -139,6 +152,7 @@
             transport,
             counts: Counts::default(),
             observers,
+            retries,
         };
         let engine = Engine(Rc::new(RefCell::new(inner)));
         engine.run([Event::Start]);
@@ -194,28 +208,50 @@
         inner.next_call += 1;
         let call = CallId(inner.next_call);
         let (sender, reply) = oneshot::channel();
-        let Ask { class, tenant, deadline, resent } = ask;
+        let Ask { class, tenant, deadline, resent, attempts_most } = ask;
         let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         let spec = inner.settings.classes.get(class.0);
         let once = spec.is_none_or(|class| class.repeat == Repeat::SingleShot);
         inner.note(|| Note::Asked { call, class, request: &request });
         let request = Rc::new(request);
-        inner
-            .calls
-            .insert(call, Call { request, class, once, deadline, reply: Some(sender), attempts: Vec::new() });
+        let (reply_to, attempts, trace) = (Some(sender), Vec::new(), Trace::default());
+        inner.calls.insert(
+            call,
+            Call { request, class, once, deadline, reply: reply_to, attempts, trace, attempts_most },
+        );
         drop(inner);
         self.run([Event::Request { call, class, tenant, time_left, resent }]);
         Waiting { engine: self.clone(), call, reply }
     }
 
-    fn gone(&self, id: CallId) {
+    fn gone(&self, id: CallId) -> Trace {
+        let mut inner = self.0.borrow_mut();
+        let Some(call) = inner.calls.get_mut(&id).filter(|call| call.waits()) else {
+            return Trace::default();
+        };
+        let trace = call.trace();
+        call.reply = None;
+        inner.events.push_back(Event::Gone { call: id });
+        inner.tidy(id);
+        drop(inner);
+        self.run([]);
+        trace
+    }
+
+    /// Answers all that is open, at once: refused where nothing can have run, else failed. What comes after that
+    /// is the front's matter.
+    pub fn answer_all(&self) {
         let mut inner = self.0.borrow_mut();
-        if inner.calls.get_mut(&id).and_then(|call| call.reply.take()).is_some() {
+        let open: Vec<CallId> =
+            inner.calls.iter().filter(|(_, call)| call.waits()).map(|(&id, _)| id).collect();
+        for id in open {
+            let may_run = inner.calls.get(&id).is_some_and(|call| call.trace().may_run);
+            // As where a client goes: the module hears of that before it hears of what is withdrawn.
             inner.events.push_back(Event::Gone { call: id });
-            inner.tidy(id);
-            drop(inner);
-            self.run([]);
+            inner.answer(id, if may_run { Reply::Failed } else { Reply::Refused(Duration::ZERO) });
         }
+        drop(inner);
+        self.run([]);
     }
 
     /// Takes a list in: hosts that it does not name ready get nothing more that is not yet on its way.
@@ -269,14 +305,15 @@
     fn finish(&self, id: CallId, attempt: u32, end: End<T::Answer>) {
         let mut inner = self.0.borrow_mut();
         let Some(call) = inner.calls.get_mut(&id) else { return };
-        let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let End { outcome, load, answer } = end;
+        let Some(out) = call.take(attempt, outcome) else { return };
+        let trace = call.trace();
         let answered = answer.and_then(|answer| Some((call.reply.take()?, Reply::Served(answer))));
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, !call.waits());
         if let Some((sender, reply)) = answered {
             inner.note(|| Note::Answered { call: id, reply: &reply });
             // A client that has just gone has no use for it.
-            let _ = sender.send(reply);
+            let _ = sender.send(Final { reply, trace });
         }
         inner.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
         inner.tidy(id);
@@ -369,6 +406,25 @@
             let closed = !call.waits();
             return self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
         };
+        let seen = call.trace();
+        let now_at = self.clock.at(now);
+        let goes = match (seen.attempts, &mut self.retries) {
+            (0, Some(retries)) => {
+                if attempt == 0 {
+                    retries.first(now_at);
+                }
+                true
+            }
+            (0, None) => true,
+            (seen, _) if seen >= call.attempts_most => false,
+            (_, retries) => retries.as_mut().is_none_or(|retries| retries.again(now_at)),
+        };
+        if !goes {
+            call.attempts.push(None);
+            let reply = if seen.may_run { Reply::Failed } else { Reply::Refused(Duration::ZERO) };
+            self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, true));
+            return self.answer(id, reply);
+        }
         let (meter, address) = (Meter::default(), host.dial);
         let target = Target { server, address, once: call.once, until };
         let sending = self.transport.send(target, &call.request, &meter);
@@ -391,17 +447,18 @@
     /// Calls an attempt off.
     fn cancel(&mut self, id: CallId, attempt: u32) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let Some(out) = call.take(attempt, Outcome::CalledOff) else { return };
         let closed = !call.waits();
         self.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
         self.tidy(id);
     }
 
     fn answer(&mut self, id: CallId, reply: Reply<T::Answer>) {
-        if let Some(sender) = self.calls.get_mut(&id).and_then(|call| call.reply.take()) {
+        let taken = self.calls.get_mut(&id).and_then(|call| Some((call.reply.take()?, call.trace())));
+        if let Some((sender, trace)) = taken {
             self.note(|| Note::Answered { call: id, reply: &reply });
             // A client that has just gone has no use for it.
-            let _ = sender.send(reply);
+            let _ = sender.send(Final { reply, trace });
         }
         self.tidy(id);
     }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -16,7 +16,7 @@
 mod task;
 mod transport;
 
-pub use call::{Ask, Reply};
+pub use call::{Ask, Final, Reply, Retries, Trace};
 pub use engine::{Engine, Setup, Waiting};
 pub use list::{Health, Host, List};
 pub use observe::{HostView, Note, Observer, OpenCall, View};
--- /dev/null
+++ b/engine/tests/calls.rs
@@ -0,0 +1,287 @@
+//! The life of calls on a transport that does as it is told, on paused time.
+
+use flaxhead_engine::{
+    Ask, BoxError, End, Engine, Final, Health, Host, List, Meter, News, Note, Observer, Reply, Retries,
+    Setup, Source, Target, Trace, Transport, View, Watching,
+};
+use flaxhead_policy::{Class, ClassId, Micros, Outcome, Repeat, ServerId, Settings};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, Instant};
+
+/// What becomes of an attempt.
+#[derive(Clone, Copy)]
+enum Act {
+    /// It ends so, with a byte written, after so many milliseconds; an answer goes with it where it served.
+    End(Outcome, u64),
+    /// Nothing is ever written, as where no connection comes up.
+    Wait,
+    /// It is written and never answered.
+    Stall,
+}
+
+#[derive(Default)]
+struct Script {
+    acts: VecDeque<Act>,
+    sent: Vec<Target>,
+    seats: Vec<(ServerId, Option<SocketAddr>)>,
+}
+
+#[derive(Clone, Default)]
+struct Scripted(Rc<RefCell<Script>>);
+
+impl Transport for Scripted {
+    type Request = &'static str;
+    type Answer = &'static str;
+
+    fn host(&self, server: ServerId, dial: Option<SocketAddr>, _: bool) {
+        self.0.borrow_mut().seats.push((server, dial));
+    }
+
+    fn forget(&self, server: ServerId) {
+        self.0.borrow_mut().seats.push((server, None));
+    }
+
+    fn send(
+        &self,
+        target: Target,
+        request: &Rc<&'static str>,
+        meter: &Meter,
+    ) -> impl Future<Output = End<&'static str>> + use<> + 'static {
+        let mut script = self.0.borrow_mut();
+        script.sent.push(target);
+        let (act, request, meter) = (script.acts.pop_front().unwrap_or(Act::Stall), **request, meter.clone());
+        async move {
+            if !matches!(act, Act::Wait) {
+                meter.set(1);
+            }
+            let Act::End(outcome, after) = act else { return std::future::pending().await };
+            sleep(Duration::from_millis(after)).await;
+            let answer = (outcome == Outcome::Served).then_some(request);
+            End { answer, ..End::without_answer(outcome) }
+        }
+    }
+
+    fn figures(&self) -> impl std::fmt::Debug {}
+}
+
+/// Lists that a test brings.
+struct Told(RefCell<Option<mpsc::UnboundedReceiver<List>>>);
+
+impl Source for Told {
+    fn watch(&self, _: Option<u64>, mut news: News) -> Watching {
+        let lists = self.0.borrow_mut().take();
+        Box::pin(async move {
+            let Some(mut lists) = lists else { return std::future::pending::<BoxError>().await };
+            while let Some(list) = lists.recv().await {
+                news(list);
+            }
+            "no more lists".into()
+        })
+    }
+}
+
+fn list(hosts: &[(&str, Health)]) -> List {
+    let host = |(n, &(name, health)): (usize, &(&str, Health))| Host {
+        host: name.to_owned(),
+        dial: SocketAddr::from(([127, 0, 0, 1], 9_000 + n as u16)),
+        site: "a".to_owned(),
+        block: 0,
+        health,
+        share: 1.0,
+        born_ms: 0,
+    };
+    List { seq: 1, whole: true, hosts: hosts.iter().enumerate().map(host).collect() }
+}
+
+struct Rig {
+    engine: Engine<Scripted>,
+    transport: Scripted,
+    lists: mpsc::UnboundedSender<List>,
+}
+
+impl Rig {
+    fn new(repeat: Repeat, acts: &[Act]) -> Rig {
+        Rig::with(repeat, acts, Vec::new(), None)
+    }
+
+    fn with(
+        repeat: Repeat,
+        acts: &[Act],
+        observers: Vec<Box<dyn Observer<Scripted>>>,
+        retries: Option<Box<dyn Retries>>,
+    ) -> Rig {
+        let transport = Scripted::default();
+        transport.0.borrow_mut().acts.extend(acts);
+        let (lists, told) = mpsc::unbounded_channel();
+        let classes = vec![Class { aim: 100_000, deadline: 2_000_000, worth: 1.0, late_value: 0.5, repeat }];
+        let known = Some(list(&[("a", Health::Ready), ("b", Health::Ready)]));
+        let setup = Setup { seed: 7, settings: Settings { classes, ..Settings::default() }, known };
+        let source = Rc::new(Told(RefCell::new(Some(told))));
+        let engine = Engine::start(setup, transport.clone(), source, observers, retries);
+        Rig { engine, transport, lists }
+    }
+
+    fn ask(&self, attempts_most: u32) -> flaxhead_engine::Waiting<Scripted> {
+        let deadline = Instant::now() + Duration::from_secs(2);
+        let ask = Ask { class: ClassId(0), tenant: None, deadline, resent: false, attempts_most };
+        self.engine.request(ask, "pay")
+    }
+
+    fn sent(&self) -> usize {
+        self.transport.0.borrow().sent.len()
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), test);
+}
+
+const TURNED_AWAY: Act = Act::End(Outcome::TurnedAway, 1);
+const SERVED: Act = Act::End(Outcome::Served, 1);
+
+#[test]
+fn a_call_goes_again_where_it_never_ran_and_its_end_says_what_hosts_saw() {
+    run(async {
+        let rig = Rig::new(Repeat::SingleShot, &[TURNED_AWAY, SERVED]);
+        let Final { reply, trace } = rig.ask(Ask::UNBOUNDED).end().await;
+        assert!(matches!(reply, Reply::Served("pay")), "{reply:?}");
+        assert_eq!(trace, Trace { attempts: 2, may_run: true });
+        let rig = Rig::new(Repeat::SingleShot, &[Act::End(Outcome::Reset, 1), SERVED]);
+        let Final { reply, trace } = rig.ask(Ask::UNBOUNDED).end().await;
+        assert!(matches!(reply, Reply::Failed) && rig.sent() == 1, "{reply:?}");
+        assert_eq!(trace, Trace { attempts: 1, may_run: true });
+    });
+}
+
+#[test]
+fn the_attempts_that_a_caller_allows_are_not_passed() {
+    run(async {
+        let rig = Rig::new(Repeat::Free, &[TURNED_AWAY, TURNED_AWAY, SERVED]);
+        let Final { reply, trace } = rig.ask(1).end().await;
+        assert!(matches!(reply, Reply::Refused(_)), "{reply:?}: it never ran");
+        assert_eq!((trace, rig.sent()), (Trace { attempts: 1, may_run: false }, 1));
+        let rig = Rig::new(Repeat::Free, &[Act::End(Outcome::Error, 1), SERVED]);
+        let Final { reply, trace } = rig.ask(1).end().await;
+        assert!(matches!(reply, Reply::Failed), "{reply:?}: it may have run");
+        assert_eq!((trace, rig.sent()), (Trace { attempts: 1, may_run: true }, 1));
+    });
+}
+
+/// Retries of which there are so many.
+struct Few(Rc<RefCell<(u32, u32)>>);
+
+impl Retries for Few {
+    fn first(&mut self, _: Micros) {
+        self.0.borrow_mut().0 += 1;
+    }
+
+    fn again(&mut self, _: Micros) -> bool {
+        let left = &mut self.0.borrow_mut().1;
+        *left = left.wrapping_sub(1);
+        *left < u32::MAX / 2
+    }
+}
+
+#[test]
+fn a_spent_retry_budget_ends_calls_at_once() {
+    run(async {
+        let counts = Rc::new(RefCell::new((0, 1)));
+        let acts = [TURNED_AWAY, TURNED_AWAY, SERVED];
+        let rig = Rig::with(Repeat::Free, &acts, Vec::new(), Some(Box::new(Few(counts.clone()))));
+        let began = Instant::now();
+        let reply = rig.ask(Ask::UNBOUNDED).reply().await;
+        assert!(matches!(reply, Reply::Refused(_)) && rig.sent() == 2, "{reply:?}");
+        assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
+        assert_eq!(counts.borrow().0, 1, "one call went out first");
+    });
+}
+
+#[test]
+fn a_drain_takes_back_what_is_not_written_and_the_transport_closes_what_is_idle() {
+    run(async {
+        let rig = Rig::new(Repeat::SingleShot, &[Act::Wait, SERVED]);
+        let mut waiting = rig.ask(Ask::UNBOUNDED);
+        let first = rig.transport.0.borrow().sent[0].server;
+        let (gone, stays) = if first == ServerId(1) { ("a", "b") } else { ("b", "a") };
+        rig.lists.send(list(&[(gone, Health::Terminating), (stays, Health::Ready)])).expect("watched");
+        let Final { reply, trace } = waiting.end().await;
+        assert!(matches!(reply, Reply::Served("pay")), "{reply:?}");
+        assert_eq!(trace, Trace { attempts: 1, may_run: true }, "the one that was taken back was never seen");
+        let script = rig.transport.0.borrow();
+        assert_ne!(script.sent[1].server, first);
+        assert!(script.seats.contains(&(first, None)));
+    });
+}
+
+#[test]
+fn all_that_is_open_is_answered_by_what_may_have_run() {
+    run(async {
+        let rig = Rig::new(Repeat::SingleShot, &[Act::Stall, Act::Wait]);
+        let (mut stalled, mut unsent) = (rig.ask(Ask::UNBOUNDED), rig.ask(Ask::UNBOUNDED));
+        sleep(Duration::from_millis(5)).await;
+        rig.engine.answer_all();
+        let (stalled, unsent) = (stalled.end().await, unsent.end().await);
+        assert!(matches!(stalled.reply, Reply::Failed) && stalled.trace.may_run, "{stalled:?}");
+        assert!(matches!(unsent.reply, Reply::Refused(_)) && !unsent.trace.may_run, "{unsent:?}");
+    });
+}
+
+#[test]
+fn whoever_gives_a_call_up_learns_what_hosts_saw() {
+    run(async {
+        let rig = Rig::new(Repeat::Free, &[Act::Stall, Act::Wait]);
+        let (stalled, unsent) = (rig.ask(Ask::UNBOUNDED), rig.ask(Ask::UNBOUNDED));
+        sleep(Duration::from_millis(5)).await;
+        assert_eq!(stalled.abandon(), Trace { attempts: 1, may_run: true });
+        assert_eq!(unsent.abandon(), Trace::default());
+        rig.engine.view(|view| assert!(view.calls().all(|call| !call.waits)));
+    });
+}
+
+/// Writes notes down in short.
+struct Notes(Rc<RefCell<Vec<String>>>);
+
+impl Observer<Scripted> for Notes {
+    fn observe(&mut self, note: &Note<'_, Scripted>, view: &View<'_, Scripted>) {
+        let line = match note {
+            Note::Asked { call, request, .. } => format!("asked {} {request}", call.0),
+            Note::Fed(event) => format!("{event:?}").split([' ', '{']).next().unwrap_or_default().to_owned(),
+            Note::Stepped => return,
+            Note::Did(action) => {
+                format!("{action:?}").split([' ', '{']).next().unwrap_or_default().to_owned()
+            }
+            Note::Answered { call, .. } => format!("answered {}", call.0),
+            Note::Ended { outcome, .. } => format!("ended {outcome:?}"),
+            Note::Listed { list, .. } => format!("listed {}", list.hosts.len()),
+            Note::Switched { host, health, .. } => format!("{host} {health:?} of {}", view.hosts().count()),
+        };
+        self.0.borrow_mut().push(line);
+    }
+}
+
+#[test]
+fn features_see_one_stream_in_order() {
+    run(async {
+        let notes = Rc::new(RefCell::new(Vec::new()));
+        let observers: Vec<Box<dyn Observer<Scripted>>> = vec![Box::new(Notes(notes.clone()))];
+        let rig = Rig::with(Repeat::Free, &[SERVED], observers, None);
+        rig.ask(Ask::UNBOUNDED).reply().await;
+        rig.lists.send(list(&[("a", Health::Ready)])).expect("watched");
+        sleep(Duration::from_millis(1)).await;
+        let notes = notes.borrow();
+        let place =
+            |line: &str| notes.iter().position(|l| l == line).unwrap_or_else(|| panic!("{line}: {notes:?}"));
+        let order = ["Start", "listed 2", "a Ready of 2", "Members", "asked 1 pay", "Request", "Send"];
+        let rest = ["answered 1", "ended Served", "Outcome", "listed 1", "b Gone of 1"];
+        let places: Vec<usize> = order.iter().chain(&rest).map(|line| place(line)).collect();
+        assert!(places.is_sorted(), "{notes:?}");
+    });
+}
--- a/proxy/src/http/front.rs
+++ b/proxy/src/http/front.rs
@@ -280,7 +280,13 @@
     let budget = Duration::from_millis(budget.into()).min(Duration::from_micros(spec.deadline));
     let tenant = single(headers, "x-caller").and_then(|name| place(&config.tenants, name)).map(TenantId);
     let resent = single(headers, "x-again").is_some_and(|value| value == "1");
-    let ask = Ask { class: ClassId(class), tenant, deadline: Instant::now(), resent };
+    let ask = Ask {
+        class: ClassId(class),
+        tenant,
+        deadline: Instant::now(),
+        resent,
+        attempts_most: Ask::UNBOUNDED,
+    };
     Some((ask, budget))
 }
 
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -39,7 +39,7 @@
     let setup = Setup { seed, settings: config.settings.clone(), known: config.known.clone() };
     let transport = Http::new(config.connections_each_way(), connect_timeout, conn_idle);
     let source = Rc::new(Discovery(config.discovery));
-    let engine = Engine::start(setup, transport, source, side.observers());
+    let engine = Engine::start(setup, transport, source, side.observers(), None);
     let (trail, ring, board) = (side.trail, side.recorder, side.board);
     let _dumps = side.dumps.zip(ring).map(|(dumps, ring)| spawn(dumps.serve(ring)));
     let classes = config.classes.clone();
