--- a/engine/src/call.rs
+++ b/engine/src/call.rs
@@ -62,9 +62,8 @@
 /// Bounds what goes out again beyond what the module decides, across all that send with it. It is told the time in
 /// microseconds and must not wait.
 pub trait Retries {
-    /// The first attempt of a call goes out.
-    fn first(&mut self, now: Micros);
-    /// A further one is about to; `false`: it may not, and its call ends.
+    /// A further attempt of a call, of which hosts may have seen one, is about to go out; `false`: it may not, and the
+    /// call ends.
     fn again(&mut self, now: Micros) -> bool;
 }
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -409,13 +409,7 @@
         let seen = call.trace();
         let now_at = self.clock.at(now);
         let goes = match (seen.attempts, &mut self.retries) {
-            (0, Some(retries)) => {
-                if attempt == 0 {
-                    retries.first(now_at);
-                }
-                true
-            }
-            (0, None) => true,
+            (0, _) => true,
             (seen, _) if seen >= call.attempts_most => false,
             (_, retries) => retries.as_mut().is_none_or(|retries| retries.again(now_at)),
         };
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod experiment;
 pub mod figures;
 pub mod fleet;
+pub mod http2;
 pub mod ledger;
 pub mod load;
 pub mod model;
 pub mod proxy;
 pub mod report;
 pub mod run;
+pub mod stand_in;
 
 use model::node::Micros;
 use std::time::{Duration, Instant, SystemTime};
--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -93,7 +93,12 @@
         Err(error) => return Some(Done::without_answer(broken(&error))),
     };
     let (head, body) = response.into_parts();
-    let load = head.headers.get("x-load-report").and_then(|v| v.to_str().ok()).map(load).unwrap_or_default();
+    let load = head
+        .headers
+        .get("x-load-report")
+        .and_then(|v| v.to_str().ok())
+        .map(flaxhead_settings::load_report)
+        .unwrap_or_default();
     let body = Limited::new(body, BODY_MOST).collect();
     let (outcome, answer, whole) = if head.status == StatusCode::OK {
         match body.await {
@@ -134,23 +139,6 @@
     }
 }
 
-/// Reads a load report, `name=value,name=value`; what is not known or no number is passed over. The names are
-/// those of the settings (`report.columns`), as on the simulator's wire: read under other names, every report
-/// would be lost without a sign.
-fn load(text: &str) -> Load {
-    let mut load = Load::default();
-    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
-        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
-        match name.trim() {
-            "active" => load.in_hand = value,
-            "waiting" => load.waiting = value,
-            "cpu" => load.busy = value,
-            _ => {}
-        }
-    }
-    load
-}
-
 /// A stream that counts what is written to it.
 struct Metered {
     io: TokioIo<TcpStream>,
@@ -189,20 +177,3 @@
         Pin::new(&mut self.io).poll_shutdown(context)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_load_report_is_read_under_the_names_of_the_settings() {
-        let read = load("active=7.5,waiting=2,avg_ms=14.766,cpu=0.5");
-        assert_eq!(read, Load { in_hand: Some(7.5), waiting: Some(2.0), busy: Some(0.5) });
-    }
-
-    #[test]
-    fn what_is_no_number_in_a_load_report_is_passed_over() {
-        let read = load("active=NaN,waiting=many, cpu = 0.25 ,odd,=,active");
-        assert_eq!(read, Load { in_hand: None, waiting: None, busy: Some(0.25) });
-    }
-}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use flaxhead_policy::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
+use flaxhead_policy::{Class, Goal, Limits, Load, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -138,3 +138,37 @@
 pub fn zone(name: &str) -> ZoneId {
     ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
 }
+
+/// Reads a load report, `name=value,name=value`; what is not known or no number is passed over. The names are
+/// those of the settings (`report.columns`), as on the simulator's wire: read under other names, every report
+/// would be lost without a sign.
+pub fn load_report(text: &str) -> Load {
+    let mut load = Load::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+        match name.trim() {
+            "active" => load.in_hand = value,
+            "waiting" => load.waiting = value,
+            "cpu" => load.busy = value,
+            _ => {}
+        }
+    }
+    load
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_is_read_under_the_names_of_the_settings() {
+        let read = load_report("active=7.5,waiting=2,avg_ms=14.766,cpu=0.5");
+        assert_eq!(read, Load { in_hand: Some(7.5), waiting: Some(2.0), busy: Some(0.5) });
+    }
+
+    #[test]
+    fn what_is_no_number_in_a_load_report_is_passed_over() {
+        let read = load_report("active=NaN,waiting=many, cpu = 0.25 ,odd,=,active");
+        assert_eq!(read, Load { in_hand: None, waiting: None, busy: Some(0.25) });
+    }
+}
