Play the lab's experiments through the plug-in: nodes that speak gRPC, and a host with it loaded

Need: the plug-in had to be measured beside the daemon on the same fleet, requests, faults, ledgers and audit.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -324,6 +324,14 @@
     HalfClose,
     /// A request runs, and the answer is garbage.
     Garbage,
+    /// Over HTTP/2: a request's stream is refused before it is looked at.
+    RefusedStreams,
+    /// Over HTTP/2: after an answer, GOAWAY; the connection closes when nothing is out on it.
+    GoAway,
+    /// A request runs, and over HTTP/2 GOAWAY says that it did and the connection closes; over HTTP/1.1 it is reset.
+    AbruptGoAway,
+    /// Over HTTP/2: while it lasts, two streams a connection.
+    FewStreams,
     /// Discovery says nothing.
     Silence,
     /// The proxy is stopped and goes on afterwards.
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod discovery;
 mod faults;
+mod grpc;
 mod http;
 mod node;
 
--- a/lab/src/fleet/node.rs
+++ b/lab/src/fleet/node.rs
@@ -1,12 +1,13 @@
 //! A node on sockets: it reads requests, has its model do the work, answers, and breaks as it is told.
 
 use super::http::{answer, Reader, Request, Unread};
-use super::{Link, Shared, State};
+use super::{grpc, Link, Shared, State};
 use crate::experiment::FaultKind;
 use crate::ledger::{digest, Fate, Handled};
 use crate::model::node::Admission;
 use rand::Rng;
 use socket2::SockRef;
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -27,7 +28,7 @@
 const BODY_MOST: usize = 64 << 10;
 
 /// How a connection ends.
-enum End {
+pub(super) enum End {
     Close,
     Reset,
 }
@@ -143,7 +144,7 @@
     }
     let _ = stream.set_nodelay(true);
     let end = tokio::select! {
-        end = converse(&fleet, node, proxy, &mut stream) => end,
+        end = speak(&fleet, node, proxy, &mut stream) => end,
         _ = link.wait_for(|link| *link != Link::Up) => End::Reset,
     };
     // What was cut off learns of it only once it can be reached again.
@@ -154,6 +155,27 @@
     fleet.borrow_mut().nodes[node].open -= 1;
 }
 
+/// A conversation in whichever protocol the other side begins.
+async fn speak(fleet: &Shared, node: usize, proxy: usize, stream: &mut TcpStream) -> End {
+    let idle = Duration::from_millis(fleet.borrow().nodes[node].spec.idle_ms);
+    let mut start = [0; 3];
+    let begun = async {
+        loop {
+            match stream.peek(&mut start).await {
+                // What begins with a P is POST or the preface of HTTP/2: more must be there to tell.
+                Ok(1 | 2) if start[0] == b'P' && start[1] != b'O' => sleep(Duration::from_millis(1)).await,
+                Ok(count) if count > 0 => return true,
+                _ => return false,
+            }
+        }
+    };
+    match timeout(idle, begun).await {
+        Ok(true) if &start == b"PRI" => grpc::converse(fleet, node, proxy, stream).await,
+        Ok(true) => converse(fleet, node, proxy, stream).await,
+        Ok(false) | Err(_) => End::Close,
+    }
+}
+
 /// Requests, one after the other.
 async fn converse(fleet: &Shared, node: usize, proxy: usize, stream: &mut TcpStream) -> End {
     let (epoch, idle) = {
@@ -185,22 +207,25 @@
             epoch.until(paused).await;
         }
         let end = match entry {
-            None => Answer::Plain(fleet.borrow_mut().aside(node, &request)),
+            None => Answer::Say(fleet.borrow_mut().aside(node, &request)),
             Some(entry) => {
                 // Boxed, as one request's wait is most of what a connection holds.
-                Box::pin(handle(fleet, node, &request, entry, &mut reader)).await
+                Box::pin(handle(fleet, node, &request, entry, reader.ends())).await
             }
         };
         let broken = |kind| fleet.borrow_mut().goes_wrong(node, kind);
         away(way).await;
         match end {
             Answer::Left => return End::Close,
-            Answer::Plain(bytes) => {
-                if write.write_all(&bytes).await.is_err() {
+            Answer::Say(said) => {
+                if write.write_all(&said.http()).await.is_err() {
                     return End::Close;
                 }
             }
-            Answer::Ran(_, _) if broken(FaultKind::ResetAfterRequest) => return End::Reset,
+            // What an abrupt GOAWAY is over HTTP/2, a reset is here.
+            Answer::Ran(_, _) if broken(FaultKind::ResetAfterRequest) || broken(FaultKind::AbruptGoAway) => {
+                return End::Reset
+            }
             Answer::Ran(_, _) if broken(FaultKind::HalfClose) => {
                 let _ = write.shutdown().await;
                 reader.ends().await;
@@ -237,40 +262,69 @@
 }
 
 /// The way from or to a proxy. Timers count whole milliseconds: no way takes none.
-async fn away(way: Duration) {
+pub(super) async fn away(way: Duration) {
     if !way.is_zero() {
         sleep(way).await;
     }
 }
 
 /// What a node has to say.
-enum Answer {
-    /// These bytes.
-    Plain(Vec<u8>),
+pub(super) enum Answer {
+    /// This, beside its work.
+    Say(Said),
     /// The request at this place of the ledger ran; this is its answer's body.
     Ran(usize, Vec<u8>),
     /// Nothing: the other side has gone.
     Left,
 }
 
-/// One request that carries an id.
-async fn handle<R: tokio::io::AsyncRead + Unpin>(
+/// What a node answers without doing the work.
+pub(super) enum Said {
+    /// Turned away unseen.
+    Rejected,
+    /// An error.
+    Failed,
+    /// What a repeat is answered.
+    Repeat(Vec<u8>),
+    /// A probe's answer: whether it takes requests.
+    Probe(bool),
+    /// There is no such thing.
+    Unknown,
+    /// Nothing: the process is down.
+    Nothing,
+}
+
+impl Said {
+    fn http(&self) -> Vec<u8> {
+        match self {
+            Said::Rejected => answer(503, "X-Rejected: 1\r\n", b""),
+            Said::Failed => answer(500, "", b""),
+            Said::Repeat(body) => answer(200, "", body),
+            Said::Probe(ready) => answer(if *ready { 200 } else { 503 }, "", b""),
+            Said::Unknown => answer(404, "", b""),
+            Said::Nothing => Vec::new(),
+        }
+    }
+}
+
+/// One request that carries an id; `gone` is done when its client leaves.
+pub(super) async fn handle(
     fleet: &Shared,
     node: usize,
     request: &Request,
     entry: usize,
-    reader: &mut Reader<R>,
+    gone: impl Future<Output = ()>,
 ) -> Answer {
     let (done, id) = match fleet.borrow_mut().admit(node, request, entry) {
         Ok(taken) => taken,
-        Err(bytes) => return Answer::Plain(bytes),
+        Err(said) => return Answer::Say(said),
     };
     tokio::select! {
         ran = done => match ran {
             Ok(()) => Answer::Ran(entry, fleet.borrow().body(node, request, entry)),
             Err(_) => Answer::Left,
         },
-        () = reader.ends() => {
+        () = gone => {
             let mut state = fleet.borrow_mut();
             let now = state.epoch.now();
             let State { nodes, ledger, pods, .. } = &mut *state;
@@ -289,13 +343,13 @@
 
 impl State {
     /// Whether a fault hits now.
-    fn goes_wrong(&mut self, node: usize, kind: FaultKind) -> bool {
+    pub(super) fn goes_wrong(&mut self, node: usize, kind: FaultKind) -> bool {
         let odds = self.nodes[node].odds.get(&kind).copied().unwrap_or(0.0);
         odds > 0.0 && self.random.random::<f64>() < odds
     }
 
     /// Notes a request that came whole, if it carries an id.
-    fn reached(&mut self, node: usize, proxy: usize, request: &Request) -> Option<usize> {
+    pub(super) fn reached(&mut self, node: usize, proxy: usize, request: &Request) -> Option<usize> {
         let call = request.call.clone().filter(|_| request.target.starts_with("/api"))?;
         self.ledger.handled.push(Handled {
             node,
@@ -312,16 +366,16 @@
     }
 
     /// What is answered beside the queue.
-    fn aside(&mut self, node: usize, request: &Request) -> Vec<u8> {
+    fn aside(&mut self, node: usize, request: &Request) -> Said {
         if request.target != "/ping" {
-            return answer(404, "", b"");
+            return Said::Unknown;
         }
         self.ledger.probes[node] += 1;
         let now = self.epoch.now();
         let place = &mut self.nodes[node];
         place.model.burden(now, PROBE);
         place.changed.notify_one();
-        answer(if place.draining { 503 } else { 200 }, "", b"")
+        Said::Probe(!place.draining)
     }
 
     /// Takes a request into work, or says why not.
@@ -330,23 +384,22 @@
         node: usize,
         request: &Request,
         entry: usize,
-    ) -> Result<(oneshot::Receiver<()>, u64), Vec<u8>> {
+    ) -> Result<(oneshot::Receiver<()>, u64), Said> {
         let now = self.epoch.now();
-        let rejected = || answer(503, "X-Rejected: 1\r\n", b"");
         if self.goes_wrong(node, FaultKind::FastErrors) {
             self.ledger.handled[entry].fate = Fate::Failed { ran: false };
-            return Err(answer(500, "", b""));
+            return Err(Said::Failed);
         }
         let (draining, pod) = (self.nodes[node].draining, self.nodes[node].pod);
         if draining {
             self.ledger.handled[entry].fate = Fate::Rejected;
-            return Err(rejected());
+            return Err(Said::Rejected);
         }
         if let Some(key) = &request.key {
             if self.pods[pod].is_repeat(key, now, self.window) {
                 let body = self.body(node, request, entry);
                 self.ledger.handled[entry].fate = Fate::Repeat { body: digest(&body) };
-                return Err(answer(200, "", &body));
+                return Err(Said::Repeat(body));
             }
         }
         self.next_job += 1;
@@ -362,13 +415,13 @@
             Admission::Full => {
                 self.ledger.handled[entry].fate = Fate::Rejected;
                 request.key.iter().for_each(|key| self.pods[pod].forget(key));
-                Err(rejected())
+                Err(Said::Rejected)
             }
             Admission::Down => {
                 self.ledger.falls.push((node, now));
                 self.stop(node);
                 // The connection is reset before anyone reads this.
-                Err(Vec::new())
+                Err(Said::Nothing)
             }
         }
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod experiment;
 pub mod figures;
 pub mod fleet;
+pub mod host;
 pub mod http2;
 pub mod ledger;
 pub mod load;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 use flaxhead_lab::experiment::Experiment;
 use flaxhead_lab::figures::Figures;
 use flaxhead_lab::fleet::Fleet;
+use flaxhead_lab::host;
 use flaxhead_lab::load::schedule::Schedule;
 use flaxhead_lab::load::sender::{Live, Mode, Targets};
 use flaxhead_lab::load::trace;
@@ -62,6 +63,9 @@
         /// Another build of flaxhead than the one in this program.
         #[arg(long, value_name = "PROGRAM")]
         proxy: Option<PathBuf>,
+        /// Through applications that have the plug-in loaded, over gRPC to the same nodes.
+        #[arg(long, conflicts_with = "proxy")]
+        plug_in: bool,
         /// The requests of a trace (JSON lines or a capture) in place of those drawn.
         #[arg(long, value_name = "FILE")]
         trace: Option<PathBuf>,
@@ -110,6 +114,12 @@
         /// The folder of the other.
         b: PathBuf,
     },
+    /// An application that has the plug-in loaded, as a process of a run.
+    #[command(hide = true)]
+    Host {
+        /// What stands under `flaxhead` in its service config, as JSON.
+        file: Option<PathBuf>,
+    },
     /// The proxy itself, as a process of a run.
     #[command(hide = true, disable_help_flag = true)]
     Proxy {
@@ -122,11 +132,14 @@
 fn main() -> ExitCode {
     let done = match CommandLine::parse().command {
         Command::Proxy { arguments } => return proxy(arguments),
+        Command::Host { file } => {
+            end_with_parent();
+            host::main(file.as_deref()).map(|()| 0)
+        }
         Command::Demo { out } => demo(&out),
         Command::Check { file } => check(&file),
-        Command::Run { file, out, seed, proxy, trace, closed } => {
-            run_file(&file, out, seed, proxy, trace.as_deref(), closed)
-        }
+        Command::Run { file, out, seed, proxy, plug_in, trace, closed } => program(proxy, plug_in)
+            .and_then(|program| run_file(&file, out, seed, program, trace.as_deref(), closed)),
         Command::Load { file, to, seed, trace, closed } => load(&file, to, seed, trace.as_deref(), closed),
         Command::Fleet { file, out, seconds } => fleet(&file, &out, seconds),
         Command::Report { dir } => figures(&dir).and_then(|figures| write_report(&dir, &figures)),
@@ -151,12 +164,17 @@
     let _ = writeln!(std::io::stdout(), "{text}");
 }
 
-/// The daemon, for as long as its parent lives: the parent holds the other end of its standard input.
-fn proxy(arguments: Vec<OsString>) -> ExitCode {
+/// This process lasts as long as its parent, which holds the other end of its standard input.
+fn end_with_parent() {
     thread::spawn(|| {
         let _ = std::io::stdin().read_to_end(&mut Vec::new());
         std::process::exit(1);
     });
+}
+
+/// The daemon.
+fn proxy(arguments: Vec<OsString>) -> ExitCode {
+    end_with_parent();
     flaxhead_proxy::program::main(std::iter::once("flaxhead".into()).chain(arguments))
 }
 
@@ -172,6 +190,15 @@
     Ok(())
 }
 
+/// What the load goes through.
+fn program(proxy: Option<PathBuf>, plug_in: bool) -> Result<Program, Box<dyn Error>> {
+    Ok(match proxy {
+        Some(path) => Program::at(path),
+        None if plug_in => Program::host(std::env::current_exe()?),
+        None => Program::own(std::env::current_exe()?),
+    })
+}
+
 fn check(file: &Path) -> Done {
     let experiment = Experiment::load(file)?;
     let schedule = Schedule::draw(&experiment, experiment.seed);
@@ -194,28 +221,24 @@
     file: &Path,
     folder: PathBuf,
     seed: Option<u64>,
-    proxy: Option<PathBuf>,
+    program: Program,
     trace: Option<&Path>,
     closed: Option<usize>,
 ) -> Done {
     let experiment = Experiment::load(file)?;
     let trace = trace.map(|trace| trace::load(trace, &experiment)).transpose()?;
-    play(&experiment, seed, proxy, folder, trace, mode(closed))
+    play(&experiment, seed, program, folder, trace, mode(closed))
 }
 
 fn play(
     experiment: &Experiment,
     seed: Option<u64>,
-    proxy: Option<PathBuf>,
+    program: Program,
     folder: PathBuf,
     trace: Option<Vec<flaxhead_lab::load::schedule::Arrival>>,
     mode: Mode,
 ) -> Done {
     end_on_signals()?;
-    let program = match proxy {
-        Some(path) => Program::at(path),
-        None => Program::own(std::env::current_exe()?),
-    };
     let options = Options { proxies: Through::Program(program), trace, folder: folder.clone(), mode };
     let live = Arc::<Live>::default();
     let shown = Progress::start(experiment, live.clone());
@@ -234,7 +257,7 @@
 fn demo(out: &Path) -> Done {
     let experiment = Experiment::parse(DEMO, "demo.toml")?;
     say(&format!("{}\n", experiment.about.trim()));
-    play(&experiment, None, None, out.to_owned(), None, Mode::Open)
+    play(&experiment, None, program(None, false)?, out.to_owned(), None, Mode::Open)
 }
 
 fn load(
--- a/lab/src/proxy.rs
+++ b/lab/src/proxy.rs
@@ -44,6 +44,11 @@
         Program { path, first: vec!["proxy".into()] }
     }
 
+    /// An application that has the plug-in loaded, run as `PATH host`.
+    pub fn host(path: PathBuf) -> Program {
+        Program { path, first: vec!["host".into()] }
+    }
+
     /// Another build of it.
     pub fn at(path: PathBuf) -> Program {
         Program { path, first: Vec::new() }
