Say the plain codec of the plug-in's tests and bench once

Change: lab/tests/plugin/plain.rs, which both use; no code of the program.

Measured: 22 tests pass; clippy is silent.

--- a/lab/benches/rpc.rs
+++ b/lab/benches/rpc.rs
@@ -1,7 +1,9 @@
 //! The plug-in beside the daemon and beside a bare tonic channel: `cargo bench -p flaxhead-lab --bench rpc`, with
 //! nothing else running (`-- runs-only` or `-- channel-only` for a half); the figures stand in docs/performance.md.
 
-use bytes::{Buf, BufMut};
+#[path = "../tests/plugin/plain.rs"]
+mod plain;
+
 use flaxhead_lab::experiment::Experiment;
 use flaxhead_lab::figures::Figures;
 use flaxhead_lab::load::sender::{Live, Mode};
@@ -10,6 +12,7 @@
 use flaxhead_lab::stand_in::{Act, Host, Manner};
 use flaxhead_rpc::{Health, Hosts, List, Plugin, ServiceConfig};
 use hdrhistogram::Histogram;
+use plain::Plain;
 use serde_json::json;
 use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
 use std::alloc::System;
@@ -20,7 +23,6 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tonic::codec::{Codec, DecodeBuf, Decoder, EncodeBuf, Encoder};
 use tonic::transport::Endpoint;
 use tonic::Status;
 
@@ -112,43 +114,6 @@
     let _ = std::io::stdin().read_to_end(&mut Vec::new());
 }
 
-#[derive(Clone, Copy, Default)]
-struct Plain;
-
-impl Codec for Plain {
-    type Encode = Vec<u8>;
-    type Decode = Vec<u8>;
-    type Encoder = Plain;
-    type Decoder = Plain;
-
-    fn encoder(&mut self) -> Plain {
-        Plain
-    }
-
-    fn decoder(&mut self) -> Plain {
-        Plain
-    }
-}
-
-impl Encoder for Plain {
-    type Item = Vec<u8>;
-    type Error = Status;
-
-    fn encode(&mut self, item: Vec<u8>, to: &mut EncodeBuf<'_>) -> Result<(), Status> {
-        to.put_slice(&item);
-        Ok(())
-    }
-}
-
-impl Decoder for Plain {
-    type Item = Vec<u8>;
-    type Error = Status;
-
-    fn decode(&mut self, from: &mut DecodeBuf<'_>) -> Result<Option<Vec<u8>>, Status> {
-        Ok(Some(from.copy_to_bytes(from.remaining()).to_vec()))
-    }
-}
-
 /// Processor time of this process, in seconds.
 fn cpu() -> f64 {
     let usage = nix::sys::resource::getrusage(nix::sys::resource::UsageWho::RUSAGE_SELF).expect("usage");
--- a/lab/tests/plugin/rig.rs
+++ b/lab/tests/plugin/rig.rs
@@ -1,6 +1,7 @@
 //! Plug-ins, hosts and calls for the tests.
 
-use bytes::{Buf, BufMut, Bytes};
+use crate::plain::Plain;
+use bytes::Bytes;
 use flaxhead_lab::stand_in::{Act, Host, Manner, Seen};
 use flaxhead_rpc::{framed, Answer, AnswerBody, Health, Hosts, List, Plugin, Request, ServiceConfig};
 use http::{HeaderName, HeaderValue, Response};
@@ -9,7 +10,6 @@
 use std::future::{ready, Ready};
 use std::time::{Duration, Instant};
 use tonic::client::GrpcService;
-use tonic::codec::{Codec, DecodeBuf, Decoder, EncodeBuf, Encoder};
 use tonic::Status;
 
 /// How long a condition is waited for before its test fails.
@@ -163,44 +163,6 @@
     }
 }
 
-/// Messages as they are.
-#[derive(Clone, Copy, Default)]
-struct Plain;
-
-impl Codec for Plain {
-    type Encode = Vec<u8>;
-    type Decode = Vec<u8>;
-    type Encoder = Plain;
-    type Decoder = Plain;
-
-    fn encoder(&mut self) -> Plain {
-        Plain
-    }
-
-    fn decoder(&mut self) -> Plain {
-        Plain
-    }
-}
-
-impl Encoder for Plain {
-    type Item = Vec<u8>;
-    type Error = Status;
-
-    fn encode(&mut self, item: Vec<u8>, to: &mut EncodeBuf<'_>) -> Result<(), Status> {
-        to.put_slice(&item);
-        Ok(())
-    }
-}
-
-impl Decoder for Plain {
-    type Item = Vec<u8>;
-    type Error = Status;
-
-    fn decode(&mut self, from: &mut DecodeBuf<'_>) -> Result<Option<Vec<u8>>, Status> {
-        Ok(Some(from.copy_to_bytes(from.remaining()).to_vec()))
-    }
-}
-
 /// A call of a tonic client on a channel.
 pub async fn tonic_path<S>(channel: S, path: &str, id: &str) -> Result<Vec<u8>, Status>
 where
