Drop the shared budget of thin proxies, whose debt kept busy ones silent for seconds

Cause: with over 14 proxies all servers shared one budget, sized by the configured count of proxies (7/100 of a call a server). Its cuts halved it for strain seen anywhere, down to 0.2 in flight, while what was already out stayed a debt that was paid off at that rate.

Ruled out: servers that turn away (0 to 1 in 5 s), CPU (0.02 s in the worst second).

What a thin proxy carries still sets its window.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -58,12 +58,9 @@
 const LOOK_PAST: usize = 16;
 /// Memory of how busy a server was kept, in sends of this balancer for each server.
 const BUSY_ROUNDS: f64 = 4.0;
-/// A server's first budget under which all servers share one: half a call, which would round to none.
-const POOL_UNDER: f64 = 0.5;
-/// Usual calls that a shared budget lets go at once; what it is cut to at the least, as a share of the first.
-const POOL_BURST: f64 = 2.0;
-const POOL_FLOOR: f64 = 0.05;
-/// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more.
+/// A server's first budget under which a balancer is thin: half a call, which would round to none.
+const THIN_UNDER: f64 = 0.5;
+/// Servers that a thin balancer's calls go to at the least, and the mean in flight at each beyond which more.
 const WINDOW_LEAST: usize = 8;
 const WINDOW_BUSY: f64 = 0.05;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
@@ -130,58 +127,24 @@
     f64::from(answers) * SMOOTHING >= 1.0 || since as f64 >= 2.0 * usual
 }
 
-/// The budget of all servers together, where one server's would be far under a call: a thousand balancers at
-/// a call each would crowd it, and each meets it too seldom to learn what it takes. It bounds the mean number
-/// in flight; its trial and its backoff are shared by all servers.
+/// What a thin balancer carries: one whose part of a server's first budget is far under a call. It meets most
+/// servers too seldom to learn what each takes, and keeps to a few.
 #[derive(Debug, Default, Serialize, Deserialize)]
-struct Pool {
-    budget: Budget,
-    up: f64,
-    /// Time in flight that was taken ahead of the budget, and when that was reckoned.
-    debt: f64,
-    at: Micros,
+struct Thin {
+    /// Mean in flight over the last seconds.
     used: f64,
-    strain: f64,
-    answers: u32,
-    changed: Micros,
     heard: Micros,
 }
 
-impl Pool {
+impl Thin {
     fn new(balancers: u32) -> Option<Self> {
-        let mut budget = Budget::new(balancers);
-        budget.floor = budget.concurrency * POOL_FLOOR;
-        (budget.concurrency < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
-    }
-
-    fn total(&self) -> f64 {
-        f64::from(self.budget.steps) * self.budget.concurrency * self.up
-    }
-
-    fn charge(&mut self, now: Micros, time: f64) {
-        let paid = self.total() * now.saturating_sub(self.at) as f64;
-        (self.debt, self.at) = ((self.debt - paid).max(0.0) + time, now);
+        (Budget::new(balancers).concurrency < THIN_UNDER).then(Thin::default)
     }
 
-    fn room_at(&self, usual: f64) -> Micros {
-        let over = (self.debt - POOL_BURST * usual).max(0.0) / self.total().max(f64::MIN_POSITIVE);
-        self.at.saturating_add(over as Micros)
-    }
-
-    /// Strain seen at whichever server lowers the budget, counted from what was used of it.
-    fn learn(&mut self, now: Micros, strain: f64, elapsed: f64, usual: f64) {
+    fn answered(&mut self, now: Micros, elapsed: f64) {
         let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
         self.heard = now;
         self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
-        self.strain += (strain - self.strain) * SMOOTHING.max(1.0 - (-gap).exp());
-        self.answers += 1;
-        if self.strain > 1.0 && enough(self.answers, now.saturating_sub(self.changed), usual) {
-            let used = self.used / (f64::from(self.budget.steps) * self.up.max(1.0));
-            self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
-            self.budget.cut(1.0 / self.strain, false);
-            self.strain = self.strain.sqrt();
-            (self.answers, self.changed) = (0, now);
-        }
     }
 }
 
@@ -345,7 +308,7 @@
     settings: Settings,
     random: Pcg32,
     servers: Vec<Server>,
-    pool: Option<Pool>,
+    thin: Option<Thin>,
     /// By zone: connections that failed in a row, and until when it is passed over.
     cut_off: BTreeMap<ZoneId, (u32, Micros)>,
     ways: BTreeMap<ZoneId, Way>,
@@ -372,7 +335,7 @@
             random: Pcg32::seed_from_u64(seed),
             paces: settings.classes.iter().map(pace).collect(),
             tenants: vec![0.0; settings.tenants.len()],
-            pool: Pool::new(settings.balancers),
+            thin: Thin::new(settings.balancers),
             settings,
             servers: Vec::new(),
             cut_off: BTreeMap::new(),
@@ -582,12 +545,9 @@
         let elapsed = took.max(now.saturating_sub(sent));
         let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
         let per = self.window() as f64;
-        let usual = self.usual(class_id, self.settings.classes.get(class_id).map_or(0, |c| c.aim));
         let pace = self.paces.get_mut(class_id);
         let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
         let base = pace.as_ref().map_or(f64::MAX, |p| p.base);
-        // A shared budget cannot spare the one server that is slow: it heeds what the aim leaves for waiting.
-        let pool_limit = (base * STRAIN_TIMES).min(base + (aim - base) * STRAIN_AIM).max(base);
         let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
         let way = self.ways.entry(zone).or_default();
         if outcome == Outcome::Served {
@@ -595,23 +555,15 @@
         }
         let far_limit =
             limit.max((way.least.unwrap_or(0.0) * STRAIN_WAY).min(aim * STRAIN_AIM * STRAIN_DEEP));
-        if let Some(pool) = &mut self.pool {
-            pool.charge(now, elapsed as f64 - usual);
-            pool.budget.trial_out &= trial != Trial::Pool;
+        if let Some(thin) = &mut self.thin {
             if !matches!(outcome, Outcome::CalledOff | Outcome::NotSent | Outcome::NoConnection) {
-                let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
-                pool.learn(now, (elapsed as f64 / pool_limit).min(4.0).max(full), elapsed as f64, longest);
-            }
-            match outcome {
-                _ if trial != Trial::Pool => {}
-                Outcome::Served => pool.budget.trial_served(),
-                _ => pool.budget.back_off(now, first),
+                thin.answered(now, elapsed as f64);
             }
         }
         // A zone that is cut off fails server by server: after a few in a row it is passed over as a whole.
         let lost = matches!(outcome, Outcome::NoConnection | Outcome::Reset);
         let cut = self.cut_off.entry(zone).or_default();
-        if lost && self.pool.is_some() {
+        if lost && self.thin.is_some() {
             let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
             *cut = (cut.0.saturating_add(1), now + ((first << doublings) >> ZONE_DOUBLINGS));
         } else if !matches!(outcome, Outcome::TimedOut | Outcome::CalledOff | Outcome::NotSent) {
@@ -696,7 +648,7 @@
             actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
         }
         // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
-        if self.pool.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
+        if self.thin.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
             server.rest = self.served + ((per as u64) << server.budget.doublings);
         }
         self.count();
@@ -706,7 +658,6 @@
     fn count(&mut self) {
         self.listed = self.servers.iter().filter(|s| s.listed).count();
         self.aside = self.servers.iter().filter(|s| s.listed && s.budget.steps == 0).count();
-        self.pool.iter_mut().for_each(|p| p.up = (self.listed - self.aside) as f64);
     }
 
     /// After an attempt that did not serve: again, or the end.
@@ -770,11 +721,6 @@
                 && (s.changed == 0 || s.settled(now, longest))
                 && s.warmth(now, rules) >= 1.0
         };
-        let full_pool = self.pool.as_ref().filter(|p| p.up > 0.0 && p.room_at(longest) > now);
-        let pool_full = full_pool.is_some();
-        if full_pool.is_some_and(|p| p.strain > 1.0 || !p.budget.trial_ready(now)) {
-            return Route::Hold;
-        }
         let near = |s: &Server| self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
         let allowed = |s: &Server| s.usable(now, self.served, rules) && near(s) && call.may_go(now, s, tick);
         // Windows begin at even distances on the ring of servers: each server is in as many as any other.
@@ -797,12 +743,10 @@
         let of =
             |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
         let (room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
-        let trial = if pool_full { Trial::Pool } else { Trial::No };
         match self.two_choices(now, &up).filter(|server| room.contains(server)) {
-            Some(server) => Route::Send { server, trial },
+            Some(server) => Route::Send { server, trial: Trial::No },
             None => match (self.two_choices(now, &room), self.two_choices(now, &trials)) {
-                (Some(server), _) => Route::Send { server, trial },
-                (None, Some(_)) if pool_full => Route::Hold,
+                (Some(server), _) => Route::Send { server, trial: Trial::No },
                 (None, Some(server)) => Route::Send { server, trial: Trial::Server },
                 (None, None) => {
                     let all = self.servers.iter().filter(|s| s.listed);
@@ -819,7 +763,7 @@
     /// How many servers calls are spread over: a thin balancer that went to all would open a connection for
     /// nearly every call, past what servers accept, and would learn of none of them.
     fn window(&self) -> usize {
-        let busy = self.pool.as_ref().map_or(f64::MAX, |p| p.used / WINDOW_BUSY);
+        let busy = self.thin.as_ref().map_or(f64::MAX, |t| t.used / WINDOW_BUSY);
         (busy as usize).max(WINDOW_LEAST).min(self.servers.len())
     }
 
@@ -831,7 +775,7 @@
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (sends, per) = (self.sends as f64, self.window() as f64);
         let aim = self.longest_aim();
-        let tie = |s: &Server| match self.pool {
+        let tie = |s: &Server| match self.thin {
             Some(_) => s.recent_load(sends, per),
             None => s.recent_slowness(now, self.ways.get(&s.zone), aim),
         };
@@ -856,16 +800,12 @@
         // An answer after the aim is worth little: its server is better used by others.
         let (aim, arrived) = (call.aim_at(), call.arrived);
         let (deadline, usual) = (call.deadline, self.usual(class_id, self.calls[&id].class.aim));
-        if let Some(pool) = &mut self.pool {
-            pool.charge(now, usual);
-            pool.budget.trial_out |= trial == Trial::Pool;
-        }
         let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
         actions.push(Action::Send { call: id, server, until });
         // The latest moment at which a second copy can still be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
-        // A shared budget tells nothing of one server: the copy would only add to the work.
-        let copies = copies == 1 && self.settings.limits.second_copies && self.pool.is_none();
+        // A thin balancer can tell no stalled server from a long call: the copy would only add to the work.
+        let copies = copies == 1 && self.settings.limits.second_copies && self.thin.is_none();
         let copy = copies && copy_at + usual <= aim as f64;
         self.set_wake(id, if copy { (copy_at as Micros).max(now + 1) } else { 0 });
     }
--- a/policy/src/balance/restore.rs
+++ b/policy/src/balance/restore.rs
@@ -20,18 +20,15 @@
         {
             return Err("the state is of other settings");
         }
-        let budgets = self.servers.iter().map(|s| &s.budget).chain(self.pool.iter().map(|p| &p.budget));
+        let mut budgets = self.servers.iter().map(|s| &s.budget);
         let budget = |b: &Budget| {
             b.steps <= STEP_CLAMP && b.doublings <= BACKOFF_DOUBLINGS && b.backoff_end <= MOMENT_MOST
         };
         let server =
             |s: &Server| s.in_flight.max(s.answers_since) <= COUNT_MOST && s.not_before <= MOMENT_MOST;
         let pace = |p: &Pace| p.mean <= SPAN_MOST as f64 && p.base <= SPAN_MOST as f64;
-        let counts = self.ask_failures.max(self.pool.as_ref().map_or(0, |p| p.answers)) <= COUNT_MOST;
-        if !budgets.into_iter().all(budget)
-            || !self.servers.iter().all(server)
-            || !self.paces.iter().all(pace)
-        {
+        let counts = self.ask_failures <= COUNT_MOST;
+        if !budgets.all(budget) || !self.servers.iter().all(server) || !self.paces.iter().all(pace) {
             return Err("the state names figures that are too large");
         }
         if !counts || self.sends.max(self.served) > MOMENT_MOST {
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -3,12 +3,11 @@
 use crate::api::*;
 use serde::{Deserialize, Serialize};
 
-/// Which budget a trial call may raise: its server's, or the one that all servers share.
+/// Whether a call may raise its server's budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum Trial {
     No,
     Server,
-    Pool,
 }
 
 /// An attempt, as it was sent and as it ended.
