Give cold servers their turn by their share of what is warm, not of how many there are

A cold host's share was its warmth over the count of all hosts, the cold ones too, though the fleet could do but 33 hosts' work; and when its turn came it was one of dozens to be drawn, so that it got less still.

Ruled out: cold hosts crowded (p50 130 ms throughout, no refusal, 0 to 4 time-outs a second).

Change: policy/src/balance.rs: cold_gap reckons with the warmth of the rest, route gives a due cold server its call, send makes up one late turn.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -56,6 +56,9 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
+/// Calls to a cold server, as times the share of all answers that the least warmth the rules allow gives it. The
+/// rules let it be sent 2.5 times what it can do, hosts warm up sooner than the least, and the sooner for work done.
+const COLD_TIMES: f64 = 1.5;
 /// Memory of how busy a server was kept, in sends of this balancer for each server.
 const BUSY_ROUNDS: f64 = 4.0;
 /// A server's first budget under which a balancer is thin: half a call, which would round to none.
@@ -721,12 +724,18 @@
                 && (s.changed == 0 || s.settled(now, longest))
                 && s.warmth(now, rules) >= 1.0
         };
+        // A cold server has its part when its turn comes: left to chance among all, it would get far less.
+        let due = |s: &Server| s.warmth(now, rules) < 1.0 && s.in_flight == 0;
         let near = |s: &Server| self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
         let allowed = |s: &Server| s.usable(now, self.served, rules) && near(s) && call.may_go(now, s, tick);
         // Windows begin at even distances on the ring of servers: each server is in as many as any other.
         let len = self.servers.len();
         let start = self.settings.me as usize * len / self.settings.balancers.max(1) as usize;
         let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(&self.servers[i]));
+        let turn = ring().filter(|&i| due(&self.servers[i])).min_by_key(|&i| self.servers[i].cold_answers);
+        if let Some(server) = turn.filter(|_| call.attempts.is_empty()) {
+            return Route::Send { server, trial: Trial::No };
+        }
         let fresh = ring().any(|i| call.untried(self.servers[i].id));
         let untried = ring().filter(|&i| !fresh || call.untried(self.servers[i].id));
         let mut up: Vec<usize> = untried.take(self.window()).collect();
@@ -787,8 +796,9 @@
     fn send(&mut self, now: Micros, id: CallId, place: usize, trial: Trial, actions: &mut Actions) {
         let (gap, span) = self.cold_gap(now, &self.servers[place]);
         let server = &mut self.servers[place];
-        (server.cold_answers, server.cold_until) =
-            (self.served.saturating_add(gap), now.saturating_add(span));
+        // A turn that came late is made up for, one at the most: the part is kept on the mean.
+        let turn = server.cold_answers.max(self.served.saturating_sub(gap));
+        (server.cold_answers, server.cold_until) = (turn.saturating_add(gap), now.saturating_add(span));
         self.sends += 1;
         server.in_flight += 1;
         server.budget.trial_out |= trial == Trial::Server;
@@ -815,13 +825,13 @@
     /// that leaves it less than one call in flight from all.
     fn cold_gap(&self, now: Micros, server: &Server) -> (u64, Micros) {
         let rules = &self.settings.rules;
-        let (warmth, size) = (server.warmth(now, rules), self.servers.len().max(1) as f64);
+        let warmth = server.warmth(now, rules);
         if warmth >= 1.0 {
             return (0, 0);
         }
-        let up = self.servers.iter().filter(|s| s.listed);
-        let warm = up.map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
-        let share = (server.weight / warm).min(1.0 / size) * warmth;
+        let up = self.servers.iter().filter(|s| s.listed && s.id != server.id);
+        let rest = up.map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
+        let share = COLD_TIMES * server.weight * warmth / (rest + server.weight * warmth);
         ((1.0 / share) as u64, (self.longest_aim() * f64::from(self.settings.balancers) / warmth) as Micros)
     }
 
