--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -56,8 +56,8 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
-/// Calls to a cold server, as times the share of all answers that the least warmth the rules allow gives it. The
-/// rules let it be sent 2.5 times what it can do, hosts warm up sooner than the least, and the sooner for work done.
+/// Calls to a cold server, as times the share of all answers that the rules' least warmth gives it: they let
+/// it be sent 2.5 times what it can do, and it warms up sooner, the more so the more it works.
 const COLD_TIMES: f64 = 1.5;
 /// Memory of how busy a server was kept, in sends of this balancer for each server.
 const BUSY_ROUNDS: f64 = 4.0;
