Judge servers that a thin proxy seldom meets by what their model takes

A proxy meets a host every few seconds, and one call tells little of it (work differs tenfold); ties went by time spent there alone. The list names each host's model, which the proxy threw away.

Change: engine, adapter and settings pass the model on; the module learns the log of each model's answer time beside all calls', and of each server beside its model, which fades in 3 s; ties and cold shares go by it. A test, failing without the model.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! Messages of the wire, as they are read and written.
 
 use flaxhead_policy::{CellId, Entry, Load, Outcome, ServerId, State};
-use flaxhead_settings::zone;
+use flaxhead_settings::{model, zone};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -62,6 +62,8 @@
     #[serde(default)]
     az: String,
     #[serde(default)]
+    shape: String,
+    #[serde(default)]
     cohort: u32,
     host: u32,
     #[serde(default)]
@@ -81,6 +83,7 @@
             server: ServerId(self.host),
             state,
             zone: zone(&self.az),
+            model: model(&self.shape),
             cell: CellId(self.cohort),
             started: self.last_start_us,
             weight: self.weight,
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -278,7 +278,8 @@
             };
             let (zone, cell) = (flaxhead_settings::zone(&entry.site), CellId(entry.block));
             let started = entry.born_ms.saturating_mul(1_000);
-            entries.push(Entry { server, state, zone, cell, started, weight: entry.share });
+            let model = flaxhead_settings::model(&entry.class);
+            entries.push(Entry { server, state, zone, model, cell, started, weight: entry.share });
         }
         if !inner.observers.is_empty() {
             let servers: Vec<ServerId> = entries.iter().map(|entry| entry.server).collect();
--- a/engine/src/list.rs
+++ b/engine/src/list.rs
@@ -26,6 +26,9 @@
     /// Its zone.
     #[serde(default)]
     pub site: String,
+    /// Its model; hosts of one are much alike.
+    #[serde(default)]
+    pub class: String,
     /// The set of hosts that drop each other's repeats.
     #[serde(default)]
     pub block: u32,
--- a/engine/tests/calls.rs
+++ b/engine/tests/calls.rs
@@ -94,6 +94,7 @@
         site: "a".to_owned(),
         block: 0,
         health,
+        class: String::new(),
         share: 1.0,
         born_ms: 0,
     };
--- a/lab/benches/rpc.rs
+++ b/lab/benches/rpc.rs
@@ -200,6 +200,7 @@
         site: String::new(),
         block: 0,
         health: Health::Ready,
+        class: String::new(),
         share: 1.0,
         born_ms: 0,
     };
--- a/lab/examples/plugin.rs
+++ b/lab/examples/plugin.rs
@@ -34,6 +34,7 @@
         site: String::new(),
         block: 0,
         health: Health::Ready,
+        class: String::new(),
         share: 1.0,
         born_ms: 0,
     };
--- a/lab/tests/plugin/rig.rs
+++ b/lab/tests/plugin/rig.rs
@@ -66,6 +66,7 @@
         site: "a".to_owned(),
         block: 0,
         health: *health,
+        class: String::new(),
         share: 1.0,
         born_ms: 0,
     };
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -21,6 +21,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TenantId(pub usize);
 
+/// A model of server: those of one are about as fast.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ModelId(pub u32);
+
 /// A zone, numbered by the proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ZoneId(pub u32);
@@ -188,6 +192,8 @@
     pub state: State,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its model.
+    pub model: ModelId,
     /// Its cell.
     pub cell: CellId,
     /// When it last started; 0: long ago.
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -5,7 +5,7 @@
 //! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
-use crate::state::{Attempt, Call, Pace, Route, Trial, Way};
+use crate::state::{Attempt, Call, Model, Pace, Route, Trial, Way};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use serde::{Deserialize, Serialize};
@@ -74,6 +74,13 @@
 /// and the longest such time: a busy proxy loses by trying slow servers often, a quiet one by waiting long.
 const SHOWN_AIMS: f64 = 8.0;
 const SHOWN_MOST: f64 = 4e6;
+/// Weight of a new answer in what a model of server takes, and in what one server takes beside its model.
+const MODEL_WEIGHT: f64 = 0.01;
+const BESIDE_WEIGHT: f64 = 0.25;
+/// Memory of what one server takes beside its model: jams and bad spells last seconds.
+const BESIDE_MEMORY: f64 = 3e6;
+/// The furthest that one answer tells from its model, as a logarithm: calls differ tenfold in work.
+const BESIDE_MOST: f64 = 2.5;
 /// Ties this near are left to chance.
 const ALIKE: f64 = 0.93;
 
@@ -156,6 +163,7 @@
 struct Server {
     id: ServerId,
     zone: ZoneId,
+    model: ModelId,
     cell: CellId,
     listed: bool,
     started: Micros,
@@ -167,6 +175,8 @@
     busy_at: u64,
     /// Answer times over what its classes and the way there allow; 1 is the limit.
     strain: f64,
+    /// What it lately took beside its model, as a logarithm; it fades.
+    beside: f64,
     /// The same without regard to the way there: it breaks the pick's ties.
     slowness: f64,
     answers_since: u32,
@@ -188,8 +198,17 @@
 
 impl Server {
     fn new(entry: &Entry, balancers: u32) -> Self {
-        let &Entry { server: id, zone, cell, started, .. } = entry;
-        Server { id, zone, cell, started, weight: 1.0, budget: Budget::new(balancers), ..Server::default() }
+        let &Entry { server: id, zone, model, cell, started, .. } = entry;
+        Server {
+            id,
+            zone,
+            model,
+            cell,
+            started,
+            weight: 1.0,
+            budget: Budget::new(balancers),
+            ..Server::default()
+        }
     }
 
     /// With few calls there are none in flight at most servers: recent past and listed size tell them apart.
@@ -214,6 +233,11 @@
         }
     }
 
+    /// What it takes beside its model, as far as that still holds.
+    fn beside(&self, now: Micros) -> f64 {
+        self.beside * (-(now.saturating_sub(self.heard) as f64) / BESIDE_MEMORY).exp()
+    }
+
     /// Share of its capacity that a server has at the least, by the rules' cold share and time.
     fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
         let age = now.saturating_sub(self.started);
@@ -291,6 +315,13 @@
     }
 }
 
+impl Model {
+    fn answered(&mut self, beside: f64) {
+        self.seen = self.seen.saturating_add(1);
+        self.log += beside * (1.0 / f64::from(self.seen)).max(MODEL_WEIGHT);
+    }
+}
+
 impl Pace {
     fn answered(&mut self, now: Micros, elapsed: f64) {
         self.seen = self.seen.saturating_add(1);
@@ -315,6 +346,8 @@
     /// By zone: connections that failed in a row, and until when it is passed over.
     cut_off: BTreeMap<ZoneId, (u32, Micros)>,
     ways: BTreeMap<ZoneId, Way>,
+    /// Answer times of each model beside those of all, without the way there.
+    models: BTreeMap<ModelId, Model>,
     calls: BTreeMap<CallId, Call>,
     hold: VecDeque<CallId>,
     wakes: BTreeSet<(Micros, CallId)>,
@@ -343,6 +376,7 @@
             servers: Vec::new(),
             cut_off: BTreeMap::new(),
             ways: BTreeMap::new(),
+            models: BTreeMap::new(),
             calls: BTreeMap::new(),
             hold: VecDeque::new(),
             wakes: BTreeSet::new(),
@@ -573,6 +607,8 @@
             *cut = (0, 0);
         }
         let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
+        let way = self.ways.get(&zone).and_then(|way| way.least).unwrap_or(0.0);
+        let mean = pace.as_ref().map_or(f64::MAX, |p| p.mean);
         let server = &mut self.servers[place];
         if server.started != started {
             return; // What a server's last process did says nothing of the new one.
@@ -599,6 +635,14 @@
         // Few answers a second must not make the strain a memory of long ago.
         let gap = now.saturating_sub(server.heard) as f64 / longest_aim;
         let weight = SMOOTHING.max(1.0 - (-gap).exp());
+        // A proxy meets most servers seldom: what it sees at one tells it of all servers of that model.
+        let took = (elapsed as f64 - way).max(least).max(mean * (-BESIDE_MOST).exp()) / mean;
+        let model = self.models.entry(server.model).or_default();
+        let beside = (took.ln() - model.log).clamp(-BESIDE_MOST, BESIDE_MOST);
+        server.beside = server.beside(now) + (beside - server.beside(now)) * BESIDE_WEIGHT;
+        if !failed && server.warmth(now, &self.settings.rules) >= 1.0 {
+            model.answered(beside);
+        }
         server.heard = now;
         if !failed {
             server.strain += (strain.max(server.crowding) - server.strain) * weight;
@@ -717,7 +761,7 @@
     fn route(&mut self, now: Micros, id: CallId) -> Route {
         let call = &self.calls[&id];
         let (rules, tick) = (&self.settings.rules, self.settings.tick);
-        let longest = self.longest_usual();
+        let (longest, usual) = (self.longest_usual(), self.usual(call.class_id, call.class.aim));
         let ready = |s: &Server| {
             s.budget.trial_ready(now)
                 && s.strain <= 1.0
@@ -752,9 +796,9 @@
         let of =
             |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
         let (room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
-        match self.two_choices(now, &up).filter(|server| room.contains(server)) {
+        match self.two_choices(now, usual, &up).filter(|server| room.contains(server)) {
             Some(server) => Route::Send { server, trial: Trial::No },
-            None => match (self.two_choices(now, &room), self.two_choices(now, &trials)) {
+            None => match (self.two_choices(now, usual, &room), self.two_choices(now, usual, &trials)) {
                 (Some(server), _) => Route::Send { server, trial: Trial::No },
                 (None, Some(server)) => Route::Send { server, trial: Trial::Server },
                 (None, None) => {
@@ -776,8 +820,15 @@
         (busy as usize).max(WINDOW_LEAST).min(self.servers.len())
     }
 
+    /// The time that an answer to a call of usual time `usual` is likely to take from a server.
+    fn expected(&self, now: Micros, server: &Server, usual: f64) -> f64 {
+        let way = self.ways.get(&server.zone).and_then(|way| way.least).unwrap_or(0.0);
+        let model = self.models.get(&server.model).map_or(0.0, |model| model.log);
+        way + usual * (model + server.beside(now)).exp()
+    }
+
     /// The less loaded of two random ones by own calls in flight; the recent past breaks ties.
-    fn two_choices(&mut self, now: Micros, among: &[usize]) -> Option<usize> {
+    fn two_choices(&mut self, now: Micros, usual: f64, among: &[usize]) -> Option<usize> {
         let len = among.len() as u64;
         let first = self.below(len);
         let a = *among.get(first as usize)?;
@@ -785,7 +836,7 @@
         let (sends, per) = (self.sends as f64, self.window() as f64);
         let aim = self.longest_aim();
         let tie = |s: &Server| match self.thin {
-            Some(_) => s.recent_load(sends, per),
+            Some(_) => (s.recent_load(sends, per) + usual / s.weight) * self.expected(now, s, usual),
             None => s.recent_slowness(now, self.ways.get(&s.zone), aim),
         };
         let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
@@ -829,9 +880,12 @@
         if warmth >= 1.0 {
             return (0, 0);
         }
-        let up = self.servers.iter().filter(|s| s.listed && s.id != server.id);
-        let rest = up.map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
-        let share = COLD_TIMES * server.weight * warmth / (rest + server.weight * warmth);
+        let can = |s: &Server| {
+            let model = self.models.get(&s.model).map_or(0.0, |model| model.log);
+            s.weight * s.warmth(now, rules) * (-model).exp()
+        };
+        let rest: f64 = self.servers.iter().filter(|s| s.listed && s.id != server.id).map(can).sum();
+        let share = COLD_TIMES * can(server) / (rest + can(server));
         ((1.0 / share) as u64, (self.longest_aim() * f64::from(self.settings.balancers) / warmth) as Micros)
     }
 
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -62,6 +62,13 @@
     pub(crate) at: Micros,
 }
 
+/// Answer times of a model of server beside those of all, as a logarithm: few are many times the rest.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub(crate) struct Model {
+    pub(crate) log: f64,
+    pub(crate) seen: u32,
+}
+
 /// Answer times of a class: the present mean and the least it has been, which stands for an unloaded server.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Pace {
--- a/policy/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -308,3 +308,29 @@
     proxy.list(ListKind::Full, (1..=50).filter(|i| *i > 8).map(ready).collect());
     assert!((0..20).all(|_| (proxy.wait(500 * MS), proxy.serve(20 * MS)).1.is_some_and(|s| s.0 > 8)));
 }
+
+#[test]
+fn a_thin_balancer_judges_servers_that_it_has_seldom_met_by_what_their_model_takes() {
+    let entry = |i: u32| Entry { model: ModelId(i % 2), ..ready(i) };
+    let mut proxy = Proxy::new(Settings { balancers: 100, ..settings(Repeat::Free) }, 0);
+    let serve = |proxy: &mut Proxy| {
+        proxy.now += 300 * MS;
+        let (call, actions) = proxy.call();
+        let server = sent(&actions)[0].1;
+        let elapsed = if server.0 % 2 == 1 { 60 * MS } else { 20 * MS };
+        proxy.now += elapsed;
+        proxy.end(call, 0, Outcome::Served, elapsed);
+        server.0
+    };
+    proxy.list(ListKind::Full, (1..=8).map(entry).collect());
+    (0..100).for_each(|_| assert!(serve(&mut proxy) <= 8));
+    // Eight others take their place, forty times over: no answer of theirs is known.
+    let mut slow = 0;
+    for round in 1..=40 {
+        proxy.list(ListKind::Full, (1..=8).map(|i| entry(10 * round + i)).collect());
+        slow += serve(&mut proxy) % 2;
+    }
+    assert!(slow <= 14, "of two, the slow model is taken only where both are of it: {slow} of 40");
+    let quick = (0..100).filter(|_| serve(&mut proxy) % 2 == 0).count();
+    assert!((65..=95).contains(&quick), "a slow one still gets its part: {quick} of 100");
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use flaxhead_policy::{Class, Goal, Limits, Load, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
+use flaxhead_policy::{Class, Goal, Limits, Load, ModelId, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -134,9 +134,19 @@
     Ok((settings, names, facts.tenants.into_iter().map(|t| t.name).collect()))
 }
 
-/// A number for a zone's name (FNV-1a), the same wherever it is met.
+/// A number for a zone's name, the same wherever it is met.
 pub fn zone(name: &str) -> ZoneId {
-    ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
+    ZoneId(number(name))
+}
+
+/// A number for the name of a model of server, the same wherever it is met.
+pub fn model(name: &str) -> ModelId {
+    ModelId(number(name))
+}
+
+/// FNV-1a.
+fn number(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193))
 }
 
 /// Reads a load report, `name=value,name=value`; what is not known or no number is passed over. The names are
