Let proxies take turns to ask for the list, and pause ever longer where that fails

Pauses of 0.3 to 2.5 s kept the queue past what it serves.

Change: policy/src/balance.rs: a start with a list asks after a random part of 30 ms for each configured proxy, and pauses after a failure begin with that span. A start without a list asks at once; the engine tells the module so. Tests: fails before.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -156,8 +156,9 @@
         };
         let engine = Engine(Rc::new(RefCell::new(inner)));
         engine.run([Event::Start]);
-        if let Some(known) = known {
-            engine.members(known, true);
+        match known {
+            Some(known) => engine.members(known, true),
+            None => engine.run([Event::Members { kind: ListKind::Cached, entries: Vec::new() }]),
         }
         if pushed {
             engine.0.borrow_mut().subscribe(&engine);
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -81,6 +81,10 @@
 const BESIDE_MEMORY: f64 = 3e6;
 /// The furthest that one answer tells from its model, as a logarithm: calls differ tenfold in work.
 const BESIDE_MOST: f64 = 2.5;
+/// Doublings of the pause after which a lost subscription is asked for again.
+const ASK_DOUBLINGS: u32 = 3;
+/// Time that discovery is left for each balancer where all of them may ask at once.
+const ASK_EACH: Micros = 30_000;
 /// Ties this near are left to chance.
 const ALIKE: f64 = 0.93;
 
@@ -334,6 +338,11 @@
     }
 }
 
+/// Time over which balancers that lose the list together ask for it again.
+fn ask_spread(settings: &Settings) -> Micros {
+    ASK_EACH * Micros::from(settings.balancers)
+}
+
 /// Decides for one client proxy.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Balancer {
@@ -396,7 +405,8 @@
         // A call that comes behind others changes nothing for them; in overload most do.
         let stands = matches!(event, Event::Request { .. }) && !self.hold.is_empty();
         match event {
-            Event::Start if self.settings.ask => actions.push(Action::Subscribe),
+            // All may start in the same instant: one that has a list takes its turn to ask for changes.
+            Event::Start if self.settings.ask => self.ask_at = now + self.below(ask_spread(&self.settings)),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
             Event::Request { call, class, tenant, time_left, .. } if !self.calls.contains_key(&call) => {
                 self.request(now, call, class, time_left);
@@ -438,8 +448,10 @@
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            // Jitter keeps balancers that lost the list together from asking together again.
-            let wait = (self.settings.rules.ask_every / 32) << self.ask_failures.min(3);
+            // Jitter keeps balancers that lost the list together from asking together again; what they ask of
+            // has so much to do for each that only ever longer pauses let it come to all.
+            let first = (self.settings.rules.ask_every / 32).max(ask_spread(&self.settings));
+            let wait = first << self.ask_failures.min(ASK_DOUBLINGS);
             self.ask_failures += 1;
             if self.settings.ask {
                 self.ask_at = now + wait / 2 + self.below(wait);
@@ -447,6 +459,9 @@
             return;
         }
         self.ask_failures *= u32::from(kind == ListKind::Cached);
+        if self.settings.ask && kind == ListKind::Cached && entries.is_empty() {
+            self.ask_at = now;
+        }
         self.servers.iter_mut().for_each(|s| s.listed &= kind == ListKind::Delta);
         for entry in entries {
             let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
--- a/policy/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -334,3 +334,44 @@
     let quick = (0..100).filter(|_| serve(&mut proxy) % 2 == 0).count();
     assert!((65..=95).contains(&quick), "a slow one still gets its part: {quick} of 100");
 }
+
+/// When a balancer that starts with `known` servers in hand asks for the list, and again when that fails four times.
+fn asks_at(seed: u64, balancers: u32, known: u32) -> Vec<Micros> {
+    let settings = Settings { ask: true, balancers, ..settings(Repeat::Free) };
+    let mut balancer = Balancer::new(seed, settings);
+    let (mut now, mut asked, mut news) = (1_000_000, Vec::new(), vec![Event::Start]);
+    news.push(Event::Members { kind: ListKind::Cached, entries: (1..=known).map(ready).collect() });
+    while asked.len() < 5 {
+        let mut actions = Vec::new();
+        news.drain(..).for_each(|event| balancer.handle(now, event, &mut actions));
+        if actions.contains(&Action::Subscribe) {
+            asked.push(now - 1_000_000);
+            news.push(Event::Members { kind: ListKind::Failed, entries: Vec::new() });
+        } else {
+            now += 5 * MS;
+            news.push(Event::Timer);
+        }
+    }
+    asked
+}
+
+#[test]
+fn balancers_that_start_together_ask_for_the_list_one_after_another_and_ever_less_often() {
+    let hundred: Vec<_> = (0..100).map(|seed| asks_at(seed, 100, 5)).collect();
+    for round in 0..5 {
+        let mut at: Vec<Micros> = hundred.iter().map(|asked| asked[round]).collect();
+        at.sort_unstable();
+        let closest = at.windows(25).map(|some| some[24] - some[0]).min();
+        assert!(
+            closest >= Some(400 * MS),
+            "discovery can't answer all at once: {closest:?} in round {round}"
+        );
+    }
+    let gaps = |asked: &Vec<Micros>| asked[4] - asked[3] >= 2 * (asked[1] - asked[0]);
+    assert!(hundred.iter().filter(|asked| gaps(asked)).count() > 90, "pauses grow");
+    assert!(
+        (0..20).all(|seed| asks_at(seed, 100, 0)[0] == 0),
+        "without a list there is nothing to go on with"
+    );
+    assert!((0..20).all(|seed| asks_at(seed, 1, 5)[0] <= 30 * MS), "alone there is nobody to wait for");
+}
