--- a/engine/src/call.rs
+++ b/engine/src/call.rs
@@ -131,6 +131,7 @@
         let closed = !self.waits();
         for (attempt, out) in (0..).zip(&mut self.attempts) {
             if let Some(out) = out.take_if(|out| out.meter.get() == 0 && unwanted(out)) {
+                out.meter.withdraw();
                 events.push_back(ended(id, attempt, Outcome::NotSent, out.sent.elapsed(), closed));
             }
         }
--- a/engine/src/transport.rs
+++ b/engine/src/transport.rs
@@ -8,9 +8,39 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Bytes that were written for one attempt: none means that no host can have seen it. Whoever writes counts up
-/// before a byte leaves for good, never after.
-pub type Meter = Rc<Cell<usize>>;
+/// What was written for one attempt, and whether anything more may be: none written means that no host can have seen
+/// it. Whoever writes counts up before a byte leaves for good, never after, and writes nothing once it is withdrawn:
+/// the task of an attempt that was called off may end only after others that write for it have had their turn.
+#[derive(Clone, Debug, Default)]
+pub struct Meter(Rc<Cell<Written>>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Written {
+    bytes: usize,
+    withdrawn: bool,
+}
+
+impl Meter {
+    /// Bytes that were written.
+    pub fn get(&self) -> usize {
+        self.0.get().bytes
+    }
+
+    /// Sets the bytes that were written.
+    pub fn set(&self, bytes: usize) {
+        self.0.set(Written { bytes, ..self.0.get() });
+    }
+
+    /// Whether nothing more may be written.
+    pub fn is_withdrawn(&self) -> bool {
+        self.0.get().withdrawn
+    }
+
+    /// Takes the attempt back: nothing is written for it from now on.
+    pub(crate) fn withdraw(&self) {
+        self.0.set(Written { withdrawn: true, ..self.0.get() });
+    }
+}
 
 /// Where an attempt goes, and on what terms.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -161,9 +161,13 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let meter = self.meter.borrow().clone();
+        // The request stands in the connection's queue, and its attempt counts as one that never ran.
+        if meter.is_withdrawn() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = Pin::new(&mut self.io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
-            let meter = self.meter.borrow();
             meter.set(meter.get() + count);
         }
         written
