--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -480,7 +480,7 @@
             server.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
         }
         self.servers.retain(|s| s.listed || s.in_flight > 0);
-        // Balancers hear of a cold server together: each waits a random part before its first call. All of the
+        // Balancers hear of a cold server together: each waits a random part before its first call. The whole
         // list tells how large: beside the entries before it alone, the first would seem most of the fleet.
         for id in new {
             let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { continue };
