Keep thin proxies to windows that are half idle: at a twentieth they met every host, each seldom

Cause: WINDOW_BUSY, a mean of 0.05 in flight at each host of the window: twenty hosts for each call in flight. Answers that slow down put more in flight, which widens the window, which costs connections and news of each host, which slows answers. A hundred proxies on 60 hosts had no room to show it.

Change: 0.5, so that half of a window is idle as a rule and two choices have something to choose from.

Test: a call each 50 ms, answered in 300 ms, among a hundred servers: 100 of them met before, at most 20 now.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -65,9 +65,10 @@
 const BUSY_ROUNDS: f64 = 4.0;
 /// A server's first budget under which a balancer is thin: half a call, which would round to none.
 const THIN_UNDER: f64 = 0.5;
-/// Servers that a thin balancer's calls go to at the least, and the mean in flight at each beyond which more.
+/// Servers that a thin balancer's calls go to at the least, and the mean in flight at each beyond which more:
+/// half of them are free then for two choices, and one is mostly met again before its connection idles out.
 const WINDOW_LEAST: usize = 8;
-const WINDOW_BUSY: f64 = 0.05;
+const WINDOW_BUSY: f64 = 0.5;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
 /// Memory of the rate of answers.
--- a/policy/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -398,3 +398,22 @@
     assert!(jammed * 10 <= all * 3, "{jammed} of {all} to servers that answer past the aim");
     assert!(jammed > 0, "they are tried again now and then");
 }
+
+/// Answers slow down, so that more calls are out: a window that widened with them would meet each server less often,
+/// open a connection for most calls and tell jammed servers from others ever less.
+#[test]
+fn a_thin_balancer_keeps_to_few_servers_also_when_they_answer_slowly() {
+    let mut proxy = Proxy::new(Settings { balancers: 300, ..settings(Repeat::Free) }, 100);
+    let (mut met, mut out) = (std::collections::BTreeSet::new(), std::collections::VecDeque::new());
+    for _ in 0..400 {
+        proxy.now += 50 * MS;
+        while let Some((_, call)) = out.pop_front_if(|&mut (ends, _)| ends <= proxy.now) {
+            proxy.end(call, 0, Outcome::Served, 300 * MS);
+        }
+        let (call, actions) = proxy.call();
+        met.extend(sent(&actions).into_iter().map(|(_, server)| server));
+        out.push_back((proxy.now + 300 * MS, call));
+    }
+    // Six are out at a time.
+    assert!((8..=20).contains(&met.len()), "{} of 100", met.len());
+}
