Refuse at once a call with less time left than a usual answer takes: retries jammed the hosts

Clients whose first try they gave up after 65 ms come again and again with what is left. Such attempts were two thirds of all, and hosts worked for nobody.

Cause: Balancer::admit took in any call; only a further attempt was held against the time that an answer usually takes (Balancer::again).

Change: a call whose time left is under the usual answer's, or its aim where that is less, is refused at once with Retry-After. The aim bounds it, so that answers that were slow once never keep a call with the usual time out.

Tests: refused, nothing sent, advice given, for a class that is free and one that never runs twice; and the bound. Each fails without its line.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -514,7 +514,12 @@
     fn admit(&mut self, now: Micros, id: CallId, tenant: Option<TenantId>, actions: &mut Actions) {
         let over_share = tenant.is_some_and(|t| self.over_share(t));
         let waited = self.hold.front().map_or(0, |head| now.saturating_sub(self.calls[head].arrived));
-        if waited > self.wait_limit(id, over_share) {
+        // Not even a usual answer would come before its client gives up: it would only add to the work.
+        let call = &self.calls[&id];
+        let usual = self.usual(call.class_id, call.class.aim).min(call.class.aim as f64);
+        if ((call.deadline - now) as f64) < usual {
+            self.give_up(id, self.first_backoff(), actions);
+        } else if waited > self.wait_limit(id, over_share) {
             self.give_up(id, waited, actions);
         } else {
             self.enqueue(now, id, false);
--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -591,3 +591,37 @@
     let cold = cold.count();
     assert!((2_000 * 9 / 33..=2_000 * 18 / 33).contains(&cold), "{cold} of 2000");
 }
+
+/// Clients that come again with what is left of their time: hosts would work for nobody.
+#[test]
+fn a_call_with_less_time_left_than_a_usual_answer_takes_is_refused_at_once() {
+    for repeat in [Repeat::Free, Repeat::SingleShot] {
+        let mut proxy = Proxy::new(settings(repeat), 5);
+        for _ in 0..200 {
+            proxy.serve(40 * MS);
+        }
+        let mut ask = |call, time_left| {
+            let (call, class) = (CallId(call), ClassId(0));
+            (call, proxy.event(Event::Request { call, class, tenant: None, time_left, resent: true }))
+        };
+        let (late, actions) = ask(1_000, 20 * MS);
+        assert!(refused(&actions, late) && sent(&actions).is_empty(), "{actions:?}");
+        let advice = |a: &Action| matches!(a, Action::Refuse { retry_after, .. } if *retry_after > 0);
+        assert!(actions.iter().any(advice), "it says when to come back: {actions:?}");
+        let (_, actions) = ask(1_001, 100 * MS);
+        assert_eq!(sent(&actions).len(), 1, "there is time for an answer: {actions:?}");
+    }
+}
+
+/// Slow answers raise what is usual; were all calls refused for it, none would ever show that they are fast again.
+#[test]
+fn however_slow_answers_have_been_a_call_with_the_usual_time_is_sent() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 5);
+    for _ in 0..200 {
+        proxy.serve(1_150 * MS);
+    }
+    proxy.wait(10_000 * MS);
+    let (call, class) = (CallId(1_000), ClassId(0));
+    let event = Event::Request { call, class, tenant: None, time_left: 840 * MS, resent: false };
+    assert_eq!(sent(&proxy.event(event)).len(), 1, "seven tenths of the class's time are left");
+}
