Send cold hosts their least part, not 1.5 times it, now that it grows with them

Turns that were drawn ahead came far more seldom than 1.5 times a host's part, and the factor made up for it; earned bit by bit they come at it in full.

Change: the constant is gone.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -56,9 +56,6 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
-/// Calls to a cold server, as times the share of all answers that the rules' least warmth gives it: they let
-/// it be sent 2.5 times what it can do, and it warms up sooner, the more so the more it works.
-const COLD_TIMES: f64 = 1.5;
 /// Parts of a turn that the first one of a cold server is drawn from.
 const TURN_PARTS: u64 = 1 << 16;
 /// Memory of how busy a server was kept, in sends of this balancer for each server.
@@ -931,7 +928,7 @@
         for server in self.servers.iter_mut().filter(|s| s.listed) {
             let warmth = server.warmth(now, rules);
             if warmth < 1.0 {
-                let part = answers * COLD_TIMES * can(server) / all + span * warmth / round;
+                let part = answers * can(server) / all + span * warmth / round;
                 // One that came late is made up for, one at the most: the part is kept on the mean.
                 server.turns = (server.turns + part).min(2.0);
             }
