Say once how long what was shown holds, and sum the fleet only where an answer is shared out

Change: shown_for is the one place of that span; earn_turns is told whether a call was answered and sums only then; Proxy::seeded in the tests' driver. Decisions and assertions are as they were.

Tests of policy and engine pass.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -491,7 +491,8 @@
     }
 
     /// The number of a host, the same at every proxy: the module spreads proxies over servers by the order of their
-    /// numbers, and in the order of their arrival the new ones would all stand together. What is idle there is of no use once it moves or starts again.
+    /// numbers, and in the order of their arrival the new ones would all stand together. What is idle there is of no
+    /// use once it moves or starts again.
     fn intern(&mut self, entry: &Host) -> ServerId {
         let hosts = &self.hosts;
         let server = *self.names.entry(entry.host.clone()).or_insert_with(|| {
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -228,7 +228,7 @@
     /// that fades. Where nothing is in flight it alone decides: a server that is not tried shows nothing new.
     fn recent_slowness(&self, now: Micros, way: Option<&Way>, longest_aim: f64) -> f64 {
         let way = way.map_or(0.0, |way| way.slowness * (1.0 - drift(now, way.at)));
-        let old = now.saturating_sub(self.heard) as f64 >= (SHOWN_AIMS * longest_aim).min(SHOWN_MOST);
+        let old = now.saturating_sub(self.heard) as f64 >= shown_for(longest_aim);
         if old {
             self.slowness.min(way)
         } else {
@@ -303,6 +303,11 @@
     }
 }
 
+/// How long what answers have shown still tells something.
+fn shown_for(longest_aim: f64) -> f64 {
+    (SHOWN_AIMS * longest_aim).min(SHOWN_MOST)
+}
+
 /// Share of a drift upwards that the time since `at` allows.
 fn drift(now: Micros, at: Micros) -> f64 {
     (now.saturating_sub(at) as f64 / BASE_DRIFT).min(1.0)
@@ -407,9 +412,9 @@
         // A call that comes behind others changes nothing for them; in overload most do.
         let stands = matches!(event, Event::Request { .. }) && !self.hold.is_empty();
         match event {
-            // All may start in the same instant: one that has a list takes its turn to ask for changes.
             Event::Start => {
                 self.earned_at = now;
+                // All may start in the same instant: one that has a list takes its turn to ask for changes.
                 if self.settings.ask {
                     self.ask_at = now + self.below(ask_spread(&self.settings));
                 }
@@ -417,14 +422,14 @@
             Event::Members { kind, entries } => self.members(now, kind, &entries),
             Event::Request { call, class, tenant, time_left, .. } if !self.calls.contains_key(&call) => {
                 self.request(now, call, class, time_left);
-                self.earn_turns(now, 0.0);
+                self.earn_turns(now, false);
                 self.admit(now, call, tenant, actions);
             }
             Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
                 self.report(call, attempt, load);
                 if let Some(tried) = self.outcome(call, attempt, outcome) {
                     if outcome == Outcome::Served {
-                        self.earn_turns(now, 1.0);
+                        self.earn_turns(now, true);
                     }
                     self.learn(now, tried, outcome, elapsed, actions);
                     self.proceed(now, call, outcome, closed, actions);
@@ -514,7 +519,7 @@
         // Not even a usual answer would come before its client gives up: it would only add to the work.
         // A guess or old news is not held against it.
         let call = &self.calls[&id];
-        let shown = (SHOWN_AIMS * self.longest_aim()).min(SHOWN_MOST);
+        let shown = shown_for(self.longest_aim());
         let lately = |p: &&Pace| p.seen > 8 && now.saturating_sub(p.at) as f64 <= shown;
         let usual = self.paces.get(call.class_id).filter(lately).map_or(0.0, |p| p.mean);
         if ((call.deadline - now) as f64) < usual.min(call.class.aim as f64) {
@@ -916,7 +921,7 @@
     /// keep them safe so, and fast refusals earn nothing. A share grows with its server's warmth; turns are
     /// earned bit by bit: far between, as for each of many balancers, they would else come at the pace of the
     /// coldest. Without answers time earns a server less than one call in flight from all.
-    fn earn_turns(&mut self, now: Micros, answers: f64) {
+    fn earn_turns(&mut self, now: Micros, answered: bool) {
         let span = now.saturating_sub(std::mem::replace(&mut self.earned_at, now)) as f64;
         let (rules, models) = (&self.settings.rules, &self.models);
         if self.servers.iter().all(|s| s.warmth(now, rules) >= 1.0) {
@@ -926,12 +931,13 @@
             let model = models.get(&s.model).map_or(0.0, |model| model.log);
             s.weight * s.warmth(now, rules) * (-model).exp()
         };
-        let all: f64 = self.servers.iter().filter(|s| s.listed).map(can).sum();
+        // Only an answer is shared out: most events need no sum over the fleet.
+        let all = answered.then(|| self.servers.iter().filter(|s| s.listed).map(can).sum::<f64>());
         let round = self.longest_aim() * f64::from(self.settings.balancers);
         for server in self.servers.iter_mut().filter(|s| s.listed) {
             let warmth = server.warmth(now, rules);
             if warmth < 1.0 {
-                let part = answers * can(server) / all + span * warmth / round;
+                let part = all.map_or(0.0, |all| can(server) / all) + span * warmth / round;
                 // One that came late is made up for, one at the most: the part is kept on the mean.
                 server.turns = (server.turns + part).min(2.0);
             }
--- a/policy/tests/common/mod.rs
+++ b/policy/tests/common/mod.rs
@@ -31,8 +31,13 @@
 impl Proxy {
     /// A started proxy that knows of `servers` ready, warm servers, numbered from 1.
     pub fn new(settings: Settings, servers: u32) -> Proxy {
+        Proxy::seeded(7, settings, servers)
+    }
+
+    /// The same, with random numbers of its own.
+    pub fn seeded(seed: u64, settings: Settings, servers: u32) -> Proxy {
         let mut proxy =
-            Proxy { balancer: Balancer::new(7, settings), now: 1_000_000, actions: Vec::new(), next: 0 };
+            Proxy { balancer: Balancer::new(seed, settings), now: 1_000_000, actions: Vec::new(), next: 0 };
         proxy.event(Event::Start);
         proxy.list(ListKind::Full, (1..=servers).map(ready).collect());
         proxy
--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -485,10 +485,7 @@
     let (mut cold, mut all) = (0, 0);
     for me in 0..300 {
         let settings = Settings { balancers: 300, me, ..settings(Repeat::Free) };
-        let mut proxy = Proxy::new(settings.clone(), 0);
-        proxy.balancer = Balancer::new(me.into(), settings);
-        proxy.event(Event::Start);
-        proxy.list(ListKind::Full, (1..=20).map(ready).collect());
+        let mut proxy = Proxy::seeded(me.into(), settings, 20);
         let started = proxy.now;
         proxy.list(ListKind::Delta, vec![Entry { started, ..ready(21) }]);
         for round in 0..36 {
@@ -511,8 +508,7 @@
     let mut first_calls = [0; 20];
     for me in 0..1_000 {
         let settings = Settings { balancers: 1_000, me, ..settings(Repeat::Free) };
-        let mut proxy = Proxy::new(settings.clone(), 0);
-        proxy.balancer = Balancer::new(me.into(), settings);
+        let mut proxy = Proxy::seeded(me.into(), settings, 0);
         let entry = |i| Entry { started: if i <= 2 { proxy.now } else { 0 }, ..ready(i) };
         proxy.list(ListKind::Cached, (1..=20).map(entry).collect());
         let server = proxy.serve(40 * MS).expect("sent");
