Add the membership among client proxies: SWIM with Lifeguard's health and cut-off members

Need: nothing can be settled among many processes before each knows which others live. membership/ is a state machine without I/O or clock: shuffled probes, probes through others, suspicion and refutation (SWIM), local health, confirmations and the suspect told first (Lifeguard). Added to them: a member's machine is asked over a connection, so that a crash (nothing listens) is told from a pause (connections are taken); whoever hears a suspect vouches for it; a process that hears nobody, or is heard by nobody, finds that out, says so and suspects nobody; generations without a clock tell restarts apart, and of two processes with one name the older stays. peers/ has the form on the wire (version, cluster, length, checksum) and the driver; nothing starts it yet.

--- /dev/null
+++ b/membership/src/packet.rs
@@ -0,0 +1,113 @@
+//! What members say to each other. How it becomes bytes is the driver's matter.
+
+use crate::name::{Name, Stamp};
+use crate::table::{Cause, State};
+use crate::CutOff;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Who speaks: also an update on the speaker, carried by every packet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Card {
+    /// Its name.
+    pub name: Name,
+    /// Where others reach it, over UDP and TCP.
+    pub at: SocketAddr,
+    /// Its life, and how much it has said of itself.
+    pub stamp: Stamp,
+    /// How long it had run when it took this stamp, in milliseconds: of two processes with one name the older stays.
+    pub uptime_ms: u32,
+    /// Whether it finds itself cut off.
+    pub cut_off: Option<CutOff>,
+}
+
+/// What is said of a member.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Update {
+    /// Of whom, as it last spoke.
+    pub card: Card,
+    /// Whether it runs.
+    pub state: State,
+    /// By whose word, where that is not its own.
+    pub by: Option<(Name, Cause)>,
+}
+
+impl Update {
+    /// Bytes that it takes in a packet at the most: what bounds the updates that a packet carries.
+    pub fn bytes(&self) -> usize {
+        let by = self.by.as_ref().map_or(0, |(name, _)| name.as_str().len() + 2);
+        // Life 10, generation and incarnation 5 each, uptime 5, address 22, state, flags and lengths.
+        self.card.name.as_str().len() + by + 52
+    }
+}
+
+/// The kinds of packets.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// Are you there?
+    Ping {
+        /// Comes back with the answer.
+        seq: u32,
+        /// Whom it is meant for: one that took over an address must not answer for its last owner.
+        to: Name,
+    },
+    /// I am.
+    Ack {
+        /// The ping's.
+        seq: u32,
+    },
+    /// Ask another whether it is there, and tell me.
+    PingFor {
+        /// Comes back with the answer.
+        seq: u32,
+        /// Whom.
+        name: Name,
+        /// Where.
+        at: SocketAddr,
+    },
+    /// The one you asked for has answered me.
+    AckFor {
+        /// The request's.
+        seq: u32,
+        /// It, as it answered.
+        card: Card,
+    },
+    /// I am there, and the one you asked for has not answered me.
+    NackFor {
+        /// The request's.
+        seq: u32,
+        /// Its machine says that nothing listens there.
+        refused: bool,
+    },
+    /// Nothing but the updates.
+    News,
+}
+
+/// One datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Packet {
+    /// Who speaks.
+    pub from: Card,
+    /// Digest of its view.
+    pub digest: u32,
+    /// What for.
+    pub kind: Kind,
+    /// What it says of others, and of whom it speaks to.
+    pub updates: Vec<Update>,
+}
+
+/// Why something that came was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Reject {
+    /// It claims a name whose address is not where it came from.
+    NotItsSender,
+    /// It came from a life of its sender that is over.
+    EarlierLife,
+    /// It says what no member can have said: a count near its top, a life of its own that it does not have.
+    Implausible,
+    /// It names one more member than are kept.
+    TooMany,
+    /// It answers nothing that was asked.
+    Unasked,
+}
--- /dev/null
+++ b/peers/src/codec.rs
@@ -0,0 +1,80 @@
+//! The form of packets on the wire: a mark, the form's version, the cluster's name, the packet, a checksum of all that.
+
+use flaxhead_membership::Packet;
+use serde::Serialize;
+
+/// The first bytes of everything.
+const MARK: [u8; 2] = *b"fx";
+/// This form.
+pub const VERSION: u8 = 1;
+/// Longest datagram: it passes any network without being cut in two.
+pub const DATAGRAM_MOST: usize = 1_400;
+/// Longest frame of a connection: all members that are kept, with their longest names.
+pub const FRAME_MOST: usize = 1 << 20;
+const CHECKSUM: usize = 4;
+
+/// Why bytes are no packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, thiserror::Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bad {
+    /// It ends too early.
+    #[error("it is cut off")]
+    Cut,
+    /// It is longer than anything that is sent.
+    #[error("it is too long")]
+    Huge,
+    /// It is something else altogether.
+    #[error("it is nothing of ours")]
+    Foreign,
+    /// It is of a version that is not spoken here.
+    #[error("it is of another version")]
+    Version,
+    /// It is of another cluster.
+    #[error("it is of another cluster")]
+    Cluster,
+    /// It was changed on the way.
+    #[error("its checksum is wrong")]
+    Checksum,
+    /// It is whole and makes no sense.
+    #[error("it makes no sense")]
+    Malformed,
+}
+
+/// A packet as bytes.
+pub fn encode(cluster: &str, packet: &Packet) -> Result<Vec<u8>, Bad> {
+    let mut bytes = Vec::with_capacity(256);
+    bytes.extend_from_slice(&MARK);
+    bytes.push(VERSION);
+    bytes.push(u8::try_from(cluster.len()).map_err(|_| Bad::Huge)?);
+    bytes.extend_from_slice(cluster.as_bytes());
+    let mut bytes = postcard::to_extend(packet, bytes).map_err(|_| Bad::Malformed)?;
+    bytes.extend_from_slice(&crc32fast::hash(&bytes).to_be_bytes());
+    Ok(bytes)
+}
+
+/// Bytes as a packet.
+pub fn decode(cluster: &str, bytes: &[u8]) -> Result<Packet, Bad> {
+    let (mark, rest) = bytes.split_at_checked(MARK.len()).ok_or(Bad::Cut)?;
+    if mark != MARK {
+        return Err(Bad::Foreign);
+    }
+    let (&version, rest) = rest.split_first().ok_or(Bad::Cut)?;
+    if version != VERSION {
+        return Err(Bad::Version);
+    }
+    let (&length, rest) = rest.split_first().ok_or(Bad::Cut)?;
+    let (name, rest) = rest.split_at_checked(usize::from(length)).ok_or(Bad::Cut)?;
+    if name != cluster.as_bytes() {
+        return Err(Bad::Cluster);
+    }
+    let body = rest.len().checked_sub(CHECKSUM).ok_or(Bad::Cut)?;
+    let (body, checksum) = rest.split_at(body);
+    let sum = crc32fast::hash(&bytes[..bytes.len() - CHECKSUM]);
+    if checksum != sum.to_be_bytes() {
+        return Err(Bad::Checksum);
+    }
+    match postcard::take_from_bytes(body) {
+        Ok((packet, [])) => Ok(packet),
+        Ok(_) | Err(_) => Err(Bad::Malformed),
+    }
+}
--- a/policy/benches/module.rs
+++ b/policy/benches/module.rs
@@ -78,7 +78,7 @@
     for (name, balancers, cold) in [("busy", 3, 0), ("thin", 300, 0), ("thin, a tenth cold", 300, 10)] {
         let mut group = criterion.benchmark_group(format!("a call and its outcome, {name}"));
         for fleet in FLEETS {
-            let part = if cold > 0 { fleet / cold } else { 0 };
+            let part = fleet.checked_div(cold).unwrap_or(0);
             let mut proxy = Proxy::new(balancers, fleet, part);
             group.bench_function(BenchmarkId::from_parameter(fleet), |bencher| bencher.iter(|| proxy.call()));
         }
