--- a/peers/tests/datagrams.rs
+++ b/peers/tests/datagrams.rs
@@ -49,7 +49,7 @@
 #[test]
 fn a_million_damaged_datagrams_remove_nobody_and_take_no_memory() {
     let mut random = Pcg32::seed_from_u64(3);
-    let mut below = |bound: usize| (u64::from(random.next_u32()) * bound as u64 >> 32) as usize;
+    let mut below = |bound: usize| ((u64::from(random.next_u32()) * bound as u64) >> 32) as usize;
     let kinds = [
         Kind::News,
         Kind::Ping { seq: 4, to: name("n1") },
@@ -190,7 +190,9 @@
     fn the_order_in_which_words_come_does_not_matter(words in prop::collection::vec(any_update(), 1..12), turn in any::<prop::sample::Index>()) {
         let known = |words: &[Update]| {
             let mut table = machine().table().clone();
-            words.iter().for_each(|word| drop(table.merge(word, 0)));
+            for word in words {
+                table.merge(word, 0);
+            }
             let all = table.iter().map(|m| (m.card.name.clone(), m.card.stamp, m.state));
             all.collect::<Vec<_>>()
         };
