--- a/membership/src/packet.rs
+++ b/membership/src/packet.rs
@@ -97,7 +97,7 @@
 }
 
 /// Why something that came was not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reject {
     /// It claims a name whose address is not where it came from.
--- a/membership/src/view.rs
+++ b/membership/src/view.rs
@@ -4,12 +4,12 @@
 use crate::packet::Reject;
 use crate::table::{State, Word};
 use crate::{CutOff, Micros};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Which directions between this process and a member work, by this process's own ears; `None`: not known.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reach {
     /// What this process sends reaches it.
     pub to_it: Option<bool>,
@@ -18,7 +18,7 @@
 }
 
 /// A member, as it is shown.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MemberView {
     /// Its name.
     pub name: String,
@@ -47,7 +47,7 @@
 }
 
 /// A word on a suspicion, as it is shown.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WordView {
     /// Who.
     pub by: String,
@@ -62,7 +62,7 @@
 }
 
 /// All that a process knows.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct View {
     /// Its name.
     pub me: String,
--- a/peers/src/codec.rs
+++ b/peers/src/codec.rs
@@ -1,7 +1,7 @@
 //! The form of packets on the wire: a mark, the form's version, the cluster's name, the packet, a checksum of all that.
 
 use flaxhead_membership::Packet;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The first bytes of everything.
 const MARK: [u8; 2] = *b"fx";
@@ -14,7 +14,7 @@
 const CHECKSUM: usize = 4;
 
 /// Why bytes are no packet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, thiserror::Error)]
 #[serde(rename_all = "kebab-case")]
 pub enum Bad {
     /// It ends too early.
--- a/peers/src/driver.rs
+++ b/peers/src/driver.rs
@@ -4,9 +4,10 @@
 use crate::lines::Lines;
 use crate::Settings;
 use flaxhead_membership::{Change, Effect, Kind, Machine, Micros, Name, Packet, Verdict, View};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -34,7 +35,7 @@
 const BACKLOG: u32 = 64;
 
 /// What was not taken, by reason.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Counts {
     /// Bytes that were no packet.
     pub bad: BTreeMap<Bad, u64>,
@@ -45,7 +46,7 @@
 }
 
 /// All that is shown of the peers.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Shown {
     /// What the machine knows.
     #[serde(flatten)]
@@ -73,6 +74,12 @@
 #[derive(Clone)]
 pub struct Peers(Rc<Inner>);
 
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Peers at {}", self.0.settings.listen)
+    }
+}
+
 impl Peers {
     /// Descriptors that it needs at the most.
     pub const DESCRIPTORS: usize = 2 * CONNECTIONS + 2;
@@ -228,7 +235,9 @@
                 packet.kind = Kind::Ping { seq, to: packet.from.name.clone() };
                 match timeout(CHECK_WAIT, self.ask(stream, &packet)).await {
                     Ok(Ok(answer)) => Verdict::Answered(answer.from),
-                    Ok(Err(_)) | Err(_) => Verdict::Stalled,
+                    // What breaks a connection may be on the way; what only waits is the process.
+                    Ok(Err(_)) => Verdict::Unreachable,
+                    Err(_) => Verdict::Stalled,
                 }
             }
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Verdict::Refused,
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -15,6 +15,8 @@
 /// The configuration, checked.
 #[derive(Debug)]
 pub struct Config {
+    /// The proxy's name, the same after a restart.
+    pub name: String,
     /// Where the application connects.
     pub listen: SocketAddr,
     /// Where discovery answers.
@@ -41,6 +43,8 @@
 
 #[derive(Deserialize)]
 struct File {
+    #[serde(default)]
+    name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     seed: String,
@@ -101,6 +105,7 @@
             return Err(format!("limits: {} sockets are too few", file.limits.sockets));
         }
         Ok(Config {
+            name: file.name,
             listen: file.listen,
             discovery: file.discovery,
             seed,
--- a/proxy/src/features/mod.rs
+++ b/proxy/src/features/mod.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod audit;
 pub mod capture;
+mod peers;
 mod sections;
 pub mod status;
 
@@ -23,6 +24,8 @@
     pub capture: Option<capture::Settings>,
     /// Address lists.
     pub access: Option<Access>,
+    /// The membership among client proxies.
+    pub peers: Option<flaxhead_peers::Settings>,
     /// The log's form.
     pub log: Option<output::Form>,
 }
@@ -55,6 +58,7 @@
                 "audit" => features.audit = Some(audit::Settings::read(&mut section)?),
                 "capture" => features.capture = Some(capture::Settings::read(&mut section)?),
                 "access" => features.access = Some(access::read(&mut section)?),
+                "peers" => features.peers = Some(peers::read(&mut section)?),
                 "log" => features.log = Some(section.take("format")?.unwrap_or_default()),
                 name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
             }
--- /dev/null
+++ b/proxy/src/features/peers.rs
@@ -0,0 +1,74 @@
+//! The peers: which other client proxies live. At Bonifico Lesto proxies do not talk to each other, and this is off.
+
+use super::sections::{Problem, Section};
+use flaxhead_membership::Config;
+use flaxhead_peers::Settings;
+use ipnet::IpNet;
+use std::net::SocketAddr;
+
+/// Takes the settings from the section.
+pub fn read(section: &mut Section) -> Result<Settings, Problem> {
+    let listen: Option<SocketAddr> = section.take_if("listen", |at: &SocketAddr| match at.port() {
+        0 => Err("no port".to_owned()),
+        _ => Ok(()),
+    })?;
+    let listen = listen.ok_or_else(|| section.problem("listen is missing"))?;
+    let advertise = section.take("advertise")?.unwrap_or(listen);
+    if advertise.ip().is_unspecified() {
+        return Err(section.problem("others reach no unspecified address: name one with advertise"));
+    }
+    let contacts = list(section, "contacts")?;
+    let name = |name: &String| match name.len() {
+        1..=Settings::CLUSTER_MOST => Ok(()),
+        _ => Err(format!("1 to {} bytes", Settings::CLUSTER_MOST)),
+    };
+    let cluster = section.take_if("cluster", name)?.ok_or_else(|| section.problem("cluster is missing"))?;
+    let networks: Vec<IpNet> = list(section, "networks")?;
+    if networks.is_empty() {
+        return Err(section.problem("networks is missing: nobody would be let in"));
+    }
+    if !networks.iter().any(|network| network.contains(&advertise.ip())) {
+        return Err(
+            section.problem(format!("networks leaves out {}, where this process itself is", advertise.ip()))
+        );
+    }
+    Ok(Settings { listen, advertise, contacts, cluster, networks, pace: Config::default() })
+}
+
+fn list<T: std::str::FromStr<Err: std::fmt::Display>>(
+    section: &mut Section,
+    key: &str,
+) -> Result<Vec<T>, Problem> {
+    let parse = |text: &str| text.trim().parse::<T>().map_err(|e| format!("{:?}: {e}", text.trim()));
+    let pieces = |text: &str| {
+        text.split(',').filter(|p| !p.trim().is_empty()).map(parse).collect::<Result<Vec<T>, _>>()
+    };
+    let text = section.take_if(key, |text: &String| pieces(text).map(drop))?;
+    Ok(text.and_then(|text| pieces(&text).ok()).unwrap_or_default())
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::features::Features;
+
+    #[test]
+    fn what_would_never_work_ends_the_start_with_its_line() {
+        let good = "[peers]\nlisten = 10.0.0.4:7946\ncontacts = 10.0.0.1:7946, 10.0.0.2:7946\ncluster = a\nnetworks = 10.0.0.0/8\n";
+        let peers = Features::parse(good).expect("good").peers.expect("on");
+        assert_eq!((peers.contacts.len(), peers.advertise), (2, peers.listen));
+        let cases = [
+            (good.replace("7946\ncon", "0\ncon"), 2, "no port"),
+            (good.replace("listen", "advertise"), 1, "listen is missing"),
+            (good.replace("= 10.0.0.4:", "= 0.0.0.0:"), 1, "unspecified"),
+            (good.replace(", 10.0.0.2:7946", ", palermo"), 3, "palermo"),
+            (good.replace("cluster = a\n", ""), 1, "cluster is missing"),
+            (good.replace("= 10.0.0.0/8", "= 10.0.0.0/99"), 5, "10.0.0.0/99"),
+            (good.replace("= 10.0.0.0/8", "= 192.168.0.0/16"), 1, "leaves out 10.0.0.4"),
+            (format!("{good}port = 1\n"), 6, "unknown key port"),
+        ];
+        for (text, line, reason) in cases {
+            let problem = Features::parse(&text).expect_err(&text);
+            assert!(problem.line == line && problem.reason.contains(reason), "{text}: {problem:?}");
+        }
+    }
+}
--- a/proxy/src/features/status.rs
+++ b/proxy/src/features/status.rs
@@ -4,6 +4,7 @@
 use super::sections::{Problem, Section};
 use crate::http::{Engine, Http};
 use flaxhead_engine::{Health, Note, Observer, View};
+use flaxhead_peers::Peers;
 use flaxhead_policy::{ClassId, Outcome, ServerId};
 use html_escape::encode_safe;
 use http_body_util::Full;
@@ -223,7 +224,7 @@
     }
 
     /// Serves the page until it is dropped.
-    pub async fn serve(self, engine: Engine, board: Shared, classes: Vec<String>) {
+    pub async fn serve(self, engine: Engine, board: Shared, classes: Vec<String>, peers: Option<Peers>) {
         let latest = Rc::new(RefCell::new(Rendered::default()));
         let refresh = async {
             let mut before: Vec<u64> = Vec::new();
@@ -238,11 +239,11 @@
                 sleep(self.refresh).await;
             }
         };
-        tokio::join!(refresh, accept(&self.listener, &latest));
+        tokio::join!(refresh, accept(&self.listener, &latest, &peers));
     }
 }
 
-async fn accept(listener: &TcpListener, latest: &Rc<RefCell<Rendered>>) {
+async fn accept(listener: &TcpListener, latest: &Rc<RefCell<Rendered>>, peers: &Option<Peers>) {
     let places = Arc::new(Semaphore::new(READERS));
     while let Ok(place) = places.clone().acquire_owned().await {
         let stream = match listener.accept().await {
@@ -253,9 +254,9 @@
                 continue;
             }
         };
-        let latest = latest.clone();
+        let (latest, peers) = (latest.clone(), peers.clone());
         let service = service_fn(move |request| {
-            let answer = answer(&request, &latest.borrow());
+            let answer = answer(&request, &latest.borrow(), peers.as_ref());
             async move { Ok::<_, Infallible>(answer) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
@@ -270,10 +271,15 @@
     }
 }
 
-fn answer(request: &Request<Incoming>, latest: &Rendered) -> Response<Full<Bytes>> {
-    let (body, kind) = match request.uri().path() {
-        "/status" => (&latest.html, "text/html; charset=utf-8"),
-        "/status.json" => (&latest.json, "application/json"),
+fn answer(request: &Request<Incoming>, latest: &Rendered, peers: Option<&Peers>) -> Response<Full<Bytes>> {
+    let (body, kind) = match (request.uri().path(), peers) {
+        ("/status", _) => (latest.html.clone(), "text/html; charset=utf-8"),
+        ("/status.json", _) => (latest.json.clone(), "application/json"),
+        // Made as it is asked for: who asks wants to know how it is now.
+        ("/members.json", Some(peers)) => {
+            let shown = serde_json::to_vec(&peers.shown()).unwrap_or_default();
+            (shown.into(), "application/json")
+        }
         _ => return plain(StatusCode::NOT_FOUND),
     };
     if request.method() != Method::GET {
@@ -281,7 +287,7 @@
         answer.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET"));
         return answer;
     }
-    let mut answer = Response::new(Full::new(body.clone()));
+    let mut answer = Response::new(Full::new(body));
     answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
     answer.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
     answer
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod features;
 pub mod http;
+pub mod members;
 pub mod output;
 pub mod program;
 pub mod side;
@@ -21,7 +22,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
 
 /// How long a stop waits for its last lines to be written.
 const LAST_LINES: Duration = Duration::from_millis(500);
@@ -43,7 +45,9 @@
     let (trail, ring, board) = (side.trail, side.recorder, side.board);
     let _dumps = side.dumps.zip(ring).map(|(dumps, ring)| spawn(dumps.serve(ring)));
     let classes = config.classes.clone();
-    let _status = side.status.map(|page| spawn(page.serve(engine.clone(), board, classes)));
+    let _status =
+        side.status.map(|page| spawn(page.serve(engine.clone(), board, classes, side.peers.clone())));
+    let _peers = side.peers.clone().map(|peers| spawn(async move { peers.serve().await }));
     let moving = engine.clone();
     let _moving = spawn(async move {
         while discovery.changed().await.is_ok() {
@@ -53,7 +57,24 @@
         }
     });
     let driver = Driver { engine: engine.clone(), config: Rc::new(config) };
+    // Peers hear of the stop while what was taken is answered.
+    let (told, stopping) = oneshot::channel::<()>();
+    let leaving = side.peers.map(|peers| {
+        spawn_local(async move {
+            if stopping.await.is_ok() {
+                peers.leave().await;
+            }
+        })
+    });
+    let stop = async move {
+        stop.await;
+        // Nobody listens where there are no peers.
+        let _ = told.send(());
+    };
     front::serve(listener, driver, side.access, stop).await;
+    if let Some(leaving) = leaving {
+        let _ = leaving.await;
+    }
     engine.log_counts();
     if let Some(trail) = trail {
         trail.close().await;
--- /dev/null
+++ b/proxy/src/members.rs
@@ -0,0 +1,96 @@
+//! `flaxhead members`: asks a running proxy's side port who its members are, and shows them.
+
+use flaxhead_membership::{MemberView, State};
+use flaxhead_peers::Shown;
+use std::fmt::Write as _;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How long the side port may take to connect, and to answer.
+const WAIT: Duration = Duration::from_secs(3);
+/// Longest answer that is read: thousands of members.
+const ANSWER_MOST: u64 = 8 << 20;
+
+/// What the side port at an address shows, as it came and as it is understood.
+pub fn ask(at: SocketAddr) -> io::Result<(String, Shown)> {
+    let mut stream = TcpStream::connect_timeout(&at, WAIT)?;
+    stream.set_read_timeout(Some(WAIT))?;
+    stream.set_write_timeout(Some(WAIT))?;
+    write!(stream, "GET /members.json HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n")?;
+    let mut answer = Vec::new();
+    stream.take(ANSWER_MOST).read_to_end(&mut answer)?;
+    let text = String::from_utf8(answer).map_err(io::Error::other)?;
+    let (head, body) = text.split_once("\r\n\r\n").ok_or(io::ErrorKind::UnexpectedEof)?;
+    let status = head.lines().next().unwrap_or_default();
+    match status.split(' ').nth(1) {
+        Some("200") => {}
+        Some("404") => return Err(io::Error::other("it has no peers: [peers] is off there")),
+        _ => return Err(io::Error::other(format!("it answered {status:?}"))),
+    }
+    let shown = serde_json::from_str(body).map_err(io::Error::other)?;
+    Ok((body.to_owned(), shown))
+}
+
+/// Whether all is well: this process takes part, and nobody that it knows is suspected or gone without a word.
+pub fn is_well(shown: &Shown) -> bool {
+    let well = |m: &MemberView| matches!(m.state, State::Alive | State::Left) && m.cut_off.is_none();
+    shown.takes_part && shown.view.members.iter().all(well)
+}
+
+/// The members as a table.
+pub fn table(shown: &Shown) -> String {
+    let view = &shown.view;
+    let mut text = String::new();
+    let part = match (shown.takes_part, view.cut_off, view.displaced) {
+        (true, ..) => "takes part".to_owned(),
+        (_, Some(how), _) => format!("cut off: {}", word(&how)),
+        (_, _, true) => "displaced: another process has its name".to_owned(),
+        _ => "leaving".to_owned(),
+    };
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        text,
+        "{} {part}, health {}, view {} version {}",
+        view.me, view.health, view.digest, view.version
+    );
+    let width = view.members.iter().map(|m| m.name.len()).max().unwrap_or(4).max(4);
+    let _ = writeln!(
+        text,
+        "{:width$}  {:8} {:>7} {:>9} {:>9}  {:21} REMARKS",
+        "NAME", "STATE", "START", "FOR", "HEARD", "ADDRESS"
+    );
+    for member in &view.members {
+        let heard = member.heard_ms.map_or("-".to_owned(), seconds);
+        let start = format!("{}.{}", member.generation, member.incarnation);
+        let (name, state) = (&member.name, word(&member.state));
+        let line = format!(
+            "{name:width$}  {state:8} {start:>7} {:>9} {heard:>9}  {:21} {}",
+            seconds(member.for_ms),
+            member.at.to_string(),
+            remarks(member)
+        );
+        let _ = writeln!(text, "{}", line.trim_end());
+    }
+    text
+}
+
+fn seconds(ms: u64) -> String {
+    format!("{}.{} s", ms / 1_000, ms % 1_000 / 100)
+}
+
+/// A state as the JSON has it.
+fn word(of: &impl serde::Serialize) -> String {
+    serde_json::to_value(of).ok().and_then(|v| v.as_str().map(str::to_owned)).unwrap_or_default()
+}
+
+fn remarks(member: &MemberView) -> String {
+    let mut remarks = Vec::new();
+    remarks.extend(member.cut_off.map(|how| format!("cut off: {}", word(&how))));
+    if member.reach.to_it == Some(false) {
+        remarks.push("not reached from here".to_owned());
+    }
+    remarks.extend(member.via.as_ref().map(|via| format!("through {via}")));
+    remarks.extend(member.words.iter().map(|w| format!("{} by {}", word(&w.cause), w.by)));
+    remarks.join(", ")
+}
--- a/proxy/src/program.rs
+++ b/proxy/src/program.rs
@@ -6,12 +6,14 @@
 use crate::features::capture::replay::{self, Line, Report};
 use crate::features::Features;
 use crate::http::front;
+use crate::members;
 use crate::output;
 use crate::side::Side;
 use clap::{Args, Parser, Subcommand};
 use std::ffi::OsString;
 use std::fs::File;
 use std::io::{BufReader, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::runtime;
@@ -35,6 +37,15 @@
     AuditVerify(Verify),
     /// Replays what capture wrote: 0 where nothing differs, 1 where something does, 2 where it cannot be replayed.
     Replay(Replay),
+    /// Shows the members that a running proxy knows: 0 where all is well, 1 where one is suspected, gone or cut off, 2
+    /// where it cannot be asked.
+    Members {
+        /// The proxy's side port, as [status] has it.
+        address: SocketAddr,
+        /// As JSON, all that is known.
+        #[arg(long)]
+        json: bool,
+    },
     /// Checks an operators' file, and the configuration where ROUTER_CONFIG is set, without starting.
     Check {
         /// The operators' file.
@@ -74,6 +85,7 @@
         Some(Command::AuditVerify(verify)) => return verify.run(),
         Some(Command::Replay(replay)) => return replay.run(),
         Some(Command::Check { file }) => return check(&file),
+        Some(Command::Members { address, json }) => return show_members(address, json),
         None => line.file.map_or(Ok(Features::default()), |file| Features::load(&file)).and_then(start),
     };
     match done {
@@ -85,6 +97,17 @@
     }
 }
 
+fn show_members(address: SocketAddr, json: bool) -> ExitCode {
+    match members::ask(address) {
+        Ok((text, shown)) => {
+            let code = if members::is_well(&shown) { ExitCode::SUCCESS } else { ExitCode::FAILURE };
+            let text = if json { text } else { members::table(&shown) };
+            say(text.trim_end(), code)
+        }
+        Err(error) => unusable(&format!("{address}: {error}")),
+    }
+}
+
 fn check(file: &Path) -> ExitCode {
     let checked = Features::load(file).and_then(|_| match std::env::var_os("ROUTER_CONFIG") {
         Some(path) => Config::load(Path::new(&path)).map(drop),
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -8,6 +8,8 @@
 use crate::http::{front, Http};
 use crate::output;
 use flaxhead_engine::Observer;
+use flaxhead_membership::Name;
+use flaxhead_peers::Peers;
 use flaxhead_policy::Access;
 use std::cell::RefCell;
 use std::fs;
@@ -28,6 +30,8 @@
     pub recorder: Option<Rc<RefCell<Recorder>>>,
     /// What writes it out.
     pub dumps: Option<Dumps>,
+    /// The membership among client proxies.
+    pub peers: Option<Peers>,
     /// Address lists.
     pub access: Option<Access>,
 }
@@ -60,8 +64,15 @@
             Ok::<_, String>(Dumps::new(asked, capture.dir.clone()))
         });
         let recorder = capture.map(|capture| Rc::new(RefCell::new(Recorder::new(capture, config.seed))));
+        let peers = features.peers.map(|settings| {
+            let name = Name::new(&config.name).map_err(|e| format!("[peers] name {:?}: {e}", config.name))?;
+            let at = settings.listen;
+            // New with each start, and not the module's: what peers do must not shift its draws.
+            Peers::bind(settings, name, !config.seed).map_err(|e| format!("[peers] listen: {at}: {e}"))
+        });
+        let peers = peers.transpose()?;
         let (access, dumps, board) = (features.access, dumps.transpose()?, Shared::default());
-        let side = Side { status, board, trail, recorder, access, dumps };
+        let side = Side { status, board, trail, recorder, peers, access, dumps };
         config.side_descriptors = side.descriptors();
         Ok(side)
     }
@@ -69,7 +80,8 @@
     fn descriptors(&self) -> usize {
         let status = self.status.as_ref().map_or(0, |_| Page::DESCRIPTORS);
         let trail = self.trail.as_ref().map_or(0, |_| Trail::DESCRIPTORS);
-        status + trail + self.dumps.as_ref().map_or(0, Dumps::descriptors)
+        let peers = self.peers.as_ref().map_or(0, |_| Peers::DESCRIPTORS);
+        status + trail + peers + self.dumps.as_ref().map_or(0, Dumps::descriptors)
     }
 
     /// What watches the engine: nothing where nothing is on.
