Judge the peers in experiments, and end the false pauses that hid cut-off processes

Need: membership among processes must be judged by experiments, from what proxies show on their side ports.

The cause is machine.rs, where the next due moment could lie in the past: the gossip's timer stands still while nothing waits to be sent, so that the first word after a quiet while looked like a pause of this process, which forgets all signs. Due is now never before the moment it is reckoned at. A connection's exchange in virtual time now needs both ways, as TCP does.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -56,6 +56,8 @@
     /// The proxies.
     #[serde(default)]
     pub proxies: Proxies,
+    /// Proxies that know of each other, with a relay between them; absent: they do not.
+    pub peers: Option<Spanned<Peers>>,
     /// What the clients do.
     #[serde(default)]
     pub clients: Clients,
@@ -157,6 +159,24 @@
     }
 }
 
+/// Proxies that know of each other.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Peers {
+    /// How long after the load all that run must show one view, in seconds.
+    pub agree_within_s: f64,
+    /// Proxies that others may take for gone: nobody hears what they say.
+    pub may_be_removed: Vec<usize>,
+    /// Proxies that find themselves cut off, at the least.
+    pub cut_off_least: usize,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Peers { agree_within_s: 30.0, may_be_removed: Vec::new(), cut_off_least: 0 }
+    }
+}
+
 /// What clients do.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -270,6 +290,15 @@
     /// Proxies that it hits.
     #[serde(default)]
     pub proxies: Vec<usize>,
+    /// Of a link: the proxies at its other end; absent: all others.
+    #[serde(default)]
+    pub to: Vec<usize>,
+    /// Of a link: both directions.
+    #[serde(default)]
+    pub both: bool,
+    /// Of a link: how much the added time varies, in milliseconds.
+    #[serde(default)]
+    pub jitter_ms: f64,
     /// The zone that it hits.
     pub zone: Option<String>,
     /// Share of the requests or exchanges that it hits.
@@ -338,12 +367,30 @@
     Freeze,
     /// The proxy is killed and started again after the time with its last list.
     Kill,
+    /// Nothing passes from proxies to others.
+    LinkCut,
+    /// Datagrams between proxies are lost, and connections reset (`share`).
+    LinkLoss,
+    /// What proxies say to others is late (`ms`, `jitter_ms`).
+    LinkDelay,
+    /// Datagrams between proxies come twice (`share`).
+    LinkDuplicate,
+    /// Datagrams between proxies are overtaken (`share`).
+    LinkReorder,
+    /// A bit of what proxies say is turned (`share`).
+    LinkCorrupt,
 }
 
 impl FaultKind {
     /// Whether it is a proxy that it hits.
     pub fn is_of_proxy(self) -> bool {
-        matches!(self, FaultKind::Freeze | FaultKind::Kill | FaultKind::Silence)
+        matches!(self, FaultKind::Freeze | FaultKind::Kill | FaultKind::Silence) || self.is_of_link()
+    }
+
+    /// Whether it is the way between proxies that it hits.
+    pub fn is_of_link(self) -> bool {
+        use FaultKind::{LinkCorrupt, LinkCut, LinkDelay, LinkDuplicate, LinkLoss, LinkReorder};
+        matches!(self, LinkCut | LinkLoss | LinkDelay | LinkDuplicate | LinkReorder | LinkCorrupt)
     }
 }
 
@@ -411,6 +458,16 @@
         ensure((1..=PROXIES_MOST).contains(&proxies), start, || {
             format!("{proxies} proxies: 1 to {PROXIES_MOST}")
         })?;
+        if let Some(peers) = &self.peers {
+            let (at, of) = (peers.span().start, peers.get_ref());
+            ensure(proxies >= 2 && self.proxies.own_file.is_none(), at, || {
+                "peers: two proxies at the least, and no own_file, which the run writes".into()
+            })?;
+            ensure(of.may_be_removed.iter().all(|&place| place < proxies), at, || {
+                format!("may_be_removed: proxies 0 to {}", proxies - 1)
+            })?;
+            ensure((1.0..=600.0).contains(&of.agree_within_s), at, || "agree_within_s: 1 to 600".into())?;
+        }
         ensure(!self.fleet.zones.is_empty() && self.fleet.pod > 0, start, || {
             "a fleet has zones and pods".into()
         })?;
@@ -477,7 +534,7 @@
         };
         let text = format!("at = 0\nkind = {kind:?}\n{}", words.map(quoted).collect::<Vec<_>>().join("\n"));
         let fault: Fault = toml::from_str(&text).map_err(|error| error.message().to_owned())?;
-        if matches!(fault.kind, FaultKind::Freeze | FaultKind::Kill) {
+        if fault.kind.is_of_proxy() && fault.kind != FaultKind::Silence {
             return Err("a proxy's fault: signal its process".into());
         }
         fault.check(of)?;
@@ -491,13 +548,18 @@
         {
             return Err(format!("at and for: 0 to {SECONDS_MOST} seconds"));
         }
-        if !(0.0..=1.0).contains(&self.share) || !(0.0..=60_000.0).contains(&self.ms) {
+        if !(0.0..=1.0).contains(&self.share)
+            || ![self.ms, self.jitter_ms].iter().all(|ms| (0.0..=60_000.0).contains(ms))
+        {
             return Err("share: 0 to 1; ms: 0 to 60000".into());
         }
         if let Some(node) = self.nodes.iter().find(|&&node| node >= nodes) {
             return Err(format!("there is no node {node}, only 0 to {}", nodes - 1));
         }
-        if let Some(proxy) = self.proxies.iter().find(|&&proxy| proxy >= proxies) {
+        if self.kind.is_of_link() && of.peers.is_none() {
+            return Err("a link's fault needs [peers]".into());
+        }
+        if let Some(proxy) = self.proxies.iter().chain(&self.to).find(|&&proxy| proxy >= proxies) {
             return Err(format!("there is no proxy {proxy}, only 0 to {}", proxies - 1));
         }
         if self.nodes.is_empty() && self.count > nodes {
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -52,6 +52,9 @@
     pub timeline: Vec<Second>,
     /// What went wrong, in words, with its span in seconds.
     pub troubles: Vec<(f64, Option<f64>, String)>,
+    /// What came of the peers, where proxies know of each other.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<crate::peers::judge::PeerFigures>,
     /// The verdict.
     pub verdict: Verdict,
 }
@@ -388,7 +391,7 @@
     let words = |trouble: &crate::load::schedule::Trouble| {
         let kind = serde_json::to_string(&trouble.kind).unwrap_or_default();
         let mut text = kind.trim_matches('"').to_owned();
-        for (what, of) in [("nodes", &trouble.nodes), ("proxies", &trouble.proxies)] {
+        for (what, of) in [("nodes", &trouble.nodes), ("proxies", &trouble.proxies), ("to", &trouble.to)] {
             if !of.is_empty() {
                 text += &format!(", {what} {of:?}");
             }
--- a/lab/src/load/schedule.rs
+++ b/lab/src/load/schedule.rs
@@ -41,6 +41,15 @@
     pub nodes: Vec<usize>,
     /// Proxies.
     pub proxies: Vec<usize>,
+    /// Of links: the proxies at their other ends.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub to: Vec<usize>,
+    /// Of links: both directions.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub both: bool,
+    /// Of links: how much the added time varies, in microseconds; 0 elsewhere.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub jitter: Micros,
     /// Zone.
     pub zone: Option<usize>,
     /// Share of requests.
@@ -49,6 +58,10 @@
     pub extra: Micros,
 }
 
+fn is_zero(micros: &Micros) -> bool {
+    *micros == 0
+}
+
 /// All that a run will do.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Schedule {
@@ -169,7 +182,14 @@
         named if named.is_empty() && fault.kind.is_of_proxy() => (0..experiment.proxies.count).collect(),
         named => named.clone(),
     };
+    let to = match &fault.to {
+        named if named.is_empty() && fault.kind.is_of_link() => (0..experiment.proxies.count).collect(),
+        named => named.clone(),
+    };
     Trouble {
+        to,
+        both: fault.both,
+        jitter: (fault.jitter_ms * 1_000.0) as Micros,
         at: micros(fault.at),
         until: fault.lasts.map(|lasts| micros(fault.at + lasts)),
         kind: fault.kind,
--- a/lab/src/peers/rig.rs
+++ b/lab/src/peers/rig.rs
@@ -2,7 +2,7 @@
 
 use super::relay::Relay;
 use crate::experiment::Experiment;
-use crate::proxy::{configuration, free_address, Program, Proxy};
+use crate::proxy::{configuration, free_address, free_address_at, Program, Proxy};
 use serde_json::{json, Value};
 use std::fs;
 use std::io::{self, Read, Write};
@@ -102,7 +102,7 @@
         let (proxies, sides) = ((0..count).map(|_| None).collect(), Vec::new());
         let mut rig = Rig { relay, proxies, sides, program, folder: folder.into(), seed, starts: 0 };
         for place in 0..count {
-            let side = free_address()?;
+            let side = free_address_at(rig.relay.own(place).ip())?;
             rig.sides.push(side);
             fs::write(rig.own_path(place), own_file(&rig.relay, place, side.port(), &[0, 1]))?;
         }
@@ -122,10 +122,10 @@
         let host =
             json!({"host": "s-0", "dial": "127.0.0.1:9", "health": "Ready", "share": 1.0, "born_ms": 0});
         let list = json!({"seq": 1, "whole": true, "hosts": [host]});
-        let nowhere = free_address()?;
+        let (listen, nowhere) = (free_address_at(self.relay.own(place).ip())?, free_address()?);
         self.starts += 1;
         let seed = self.seed.wrapping_add(self.starts << 16);
-        let mut config = configuration(&experiment, 0, seed, free_address()?, nowhere, &list);
+        let mut config = configuration(&experiment, 0, seed, listen, nowhere, &list);
         config["name"] = name(place).into();
         let own_file = self.own_path(place);
         self.proxies[place] = Some(Proxy::start(&self.program, &config, Some(&own_file), &self.folder)?);
--- a/lab/src/peers/virtual_net.rs
+++ b/lab/src/peers/virtual_net.rs
@@ -407,7 +407,9 @@
 
     fn exchange(&mut self, from: usize, to: usize, packet: Packet, answer: bool) {
         self.nodes[from].sent.bytes += packet_bytes(&packet) as u64;
-        if let Some(way) = self.pass(from, to, SEGMENT_TRIES) {
+        // No connection comes up over half a way.
+        let back = self.pass(to, from, SEGMENT_TRIES);
+        if let Some(way) = self.pass(from, to, SEGMENT_TRIES).filter(|_| back.is_some()) {
             self.number += 1;
             let number = self.number;
             self.packets.insert(number, packet);
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -8,7 +8,10 @@
 use crate::load::schedule::{Arrival, Schedule, Trouble};
 use crate::load::sender::{self, histogram, Live, Mode, Sent, Targets};
 use crate::model::node::Micros;
-use crate::proxy::{configuration, free_address, Program, Proxy, Usage};
+use crate::peers::judge::{agreed, Judge, PeerFigures};
+use crate::peers::relay::Relay;
+use crate::peers::rig::{own_file, shown, Shown};
+use crate::proxy::{configuration, free_address, free_address_at, Program, Proxy, Usage};
 use crate::Epoch;
 use hdrhistogram::serialization::interval_log::{IntervalLogWriterBuilder, Tag};
 use hdrhistogram::serialization::V2Serializer;
@@ -16,7 +19,7 @@
 use std::io::{self, BufWriter};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::Duration;
@@ -106,9 +109,13 @@
     let epoch = Epoch::after(HEAD_START + HEAD_START_EACH * experiment.proxies.count as u32);
     let fleet = Fleet::start(experiment, &schedule, epoch).map_err(doing("the fleet"))?;
     let proxies: Shared = Arc::default();
+    let peers = experiment.peers.as_ref().map(|_| Between::start(experiment.proxies.count, seed));
+    let peers = peers.transpose().map_err(doing("the relay"))?.map(Arc::new);
     let targets = match options.proxies {
         Through::Own(make) => Targets::new(make(&fleet.discovery)),
-        Through::Program(program) => start(experiment, seed, &program, &fleet, folder, &proxies)?,
+        Through::Program(program) => {
+            start(experiment, seed, &program, &fleet, folder, &proxies, peers.as_deref())?
+        }
     };
     if epoch.now() > 0 {
         return Err(Failure::NotReady);
@@ -117,11 +124,21 @@
     let befalls = {
         let troubles = schedule.troubles.clone();
         let (proxies, fleet, killed) = (proxies.clone(), fleet.clone(), targets.clone());
-        thread::spawn(move || befall(&troubles, &proxies, &fleet, &killed, epoch, seed))
+        let peers = peers.clone();
+        thread::spawn(move || befall(&troubles, &proxies, &fleet, &killed, epoch, seed, peers.as_deref()))
     };
+    let looks = peers.as_ref().zip(experiment.peers.as_ref()).map(|(between, of)| {
+        let (between, excused) = (between.clone(), of.get_ref().may_be_removed.clone());
+        thread::spawn(move || between.look(&excused))
+    });
     let sent = sender::send(experiment, &schedule, &targets, epoch, live, options.mode);
     let Sent { tries, lateness } = sent.map_err(doing("the load"))?;
     let outages = befalls.join().unwrap_or_default();
+    let peer_figures = peers.zip(experiment.peers.as_ref()).zip(looks).map(|((between, of), looks)| {
+        let after = between.agree(Duration::from_secs_f64(of.get_ref().agree_within_s));
+        between.ended.store(true, Ordering::SeqCst);
+        looks.join().map(|judge| judge.figures(after)).unwrap_or_default()
+    });
     let usage: Vec<Usage> = locked(&proxies).iter().map(Proxy::usage).collect();
     for proxy in locked(&proxies).iter_mut() {
         proxy.stop().map_err(doing("a proxy"))?;
@@ -145,7 +162,10 @@
         proxies: usage,
         breaches: &breaches,
     };
-    let figures = Figures::of(&evidence);
+    let mut figures = Figures::of(&evidence);
+    if let Some((peers, of)) = peer_figures.zip(experiment.peers.as_ref()) {
+        figures.judge_peers(peers, of.get_ref());
+    }
     write(folder, &figures, &tries).map_err(doing(folder.display().to_string()))?;
     Ok(Done { figures, tries, fleet, breaches })
 }
@@ -178,13 +198,19 @@
     fleet: &Fleet,
     folder: &Path,
     proxies: &Shared,
+    peers: Option<&Between>,
 ) -> Result<Targets, Failure> {
     for number in 0..experiment.proxies.count {
         let list = fleet.list(number).unwrap_or_default();
-        let listen = free_address().map_err(doing("a port"))?;
+        let listen =
+            peers.map_or_else(free_address, |between| free_address_at(between.relay.own(number).ip()));
+        let listen = listen.map_err(doing("a port"))?;
         let config = configuration(experiment, number, seed, listen, fleet.discovery[number], &list);
-        let own_file = experiment.proxies.own_file.as_deref().map(Path::new);
-        let proxy = Proxy::start(program, &config, own_file, folder).map_err(doing("a proxy"))?;
+        let own_file = match peers {
+            Some(between) => Some(between.own_file(number, folder).map_err(doing("an operators' file"))?),
+            None => experiment.proxies.own_file.as_ref().map(PathBuf::from),
+        };
+        let proxy = Proxy::start(program, &config, own_file.as_deref(), folder).map_err(doing("a proxy"))?;
         locked(proxies).push(proxy);
     }
     let mut started = locked(proxies);
@@ -196,6 +222,121 @@
     Ok(Targets::new(started.iter().map(|proxy| proxy.address).collect()))
 }
 
+/// What is between proxies that know of each other.
+struct Between {
+    relay: Relay,
+    sides: Vec<SocketAddr>,
+    running: Mutex<Vec<bool>>,
+    judge: Mutex<Judge>,
+    ended: AtomicBool,
+}
+
+impl Between {
+    fn start(count: usize, seed: u64) -> io::Result<Between> {
+        let relay = Relay::start(count, seed)?;
+        // At the proxy's own address, which no other process takes ports of.
+        let side = |place| free_address_at(relay.own(place).ip());
+        let sides = (0..count).map(side).collect::<io::Result<Vec<_>>>()?;
+        let (running, judge, ended) =
+            (Mutex::new(vec![true; count]), Mutex::default(), AtomicBool::new(false));
+        Ok(Between { relay, sides, running, judge, ended })
+    }
+
+    fn own_file(&self, number: usize, folder: &Path) -> io::Result<PathBuf> {
+        let path = folder.join(format!("n{number}.toml"));
+        fs::write(&path, own_file(&self.relay, number, self.sides[number].port(), &[0, 1]))?;
+        Ok(path)
+    }
+
+    fn held<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+        of.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn killed(&self, number: usize) {
+        Between::held(&self.running)[number] = false;
+        Between::held(&self.judge).killed(&format!("n{number}"));
+        self.relay.down(number);
+    }
+
+    fn started(&self, number: usize) -> io::Result<()> {
+        self.relay.up(number)?;
+        Between::held(&self.running)[number] = true;
+        Between::held(&self.judge).started(&format!("n{number}"));
+        Ok(())
+    }
+
+    /// Brings a link's fault about, or takes it back.
+    fn turn(&self, trouble: &Trouble, on: bool) {
+        let share = if on { trouble.share } else { 0.0 };
+        let span = |micros| Duration::from_micros(if on { micros } else { 0 });
+        for &from in &trouble.proxies {
+            for &to in trouble.to.iter().filter(|&&to| to != from) {
+                let ways = [(from, to), (to, from)];
+                for (from, to) in ways.into_iter().take(1 + usize::from(trouble.both)) {
+                    self.relay.set(from, to, |link| match trouble.kind {
+                        FaultKind::LinkCut => link.cut = on,
+                        FaultKind::LinkLoss => link.loss = share,
+                        FaultKind::LinkDelay => {
+                            (link.delay, link.jitter) = (span(trouble.extra), span(trouble.jitter))
+                        }
+                        FaultKind::LinkDuplicate => link.duplicate = share,
+                        FaultKind::LinkReorder => link.reorder = share,
+                        FaultKind::LinkCorrupt => link.corrupt = share,
+                        _ => {}
+                    });
+                }
+            }
+        }
+    }
+
+    fn places(&self) -> Vec<usize> {
+        let running = Between::held(&self.running);
+        (0..running.len()).filter(|&place| running[place]).collect()
+    }
+
+    /// Looks at what all show, time and again, until the run has ended.
+    fn look(&self, excused: &[usize]) -> Judge {
+        *Between::held(&self.judge) = Judge::excusing(excused.iter().map(|place| format!("n{place}")));
+        while !self.ended.load(Ordering::SeqCst) {
+            for place in self.places() {
+                // One that is stopped, or just killed, shows nothing.
+                if let Ok(shown) = shown(self.sides[place]) {
+                    Between::held(&self.judge).see(&shown);
+                }
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        Between::held(&self.judge).clone()
+    }
+
+    /// How long it takes until all that run show one view, in seconds.
+    fn agree(&self, within: Duration) -> Option<f64> {
+        let start = std::time::Instant::now();
+        while start.elapsed() < within {
+            let places = self.places();
+            let names: Vec<String> = places.iter().map(|place| format!("n{place}")).collect();
+            let all: Vec<(usize, Shown)> =
+                places.iter().filter_map(|&place| Some((place, shown(self.sides[place]).ok()?))).collect();
+            if agreed(&all, &names) {
+                return Some(start.elapsed().as_secs_f64());
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        None
+    }
+}
+
+impl Figures {
+    fn judge_peers(&mut self, peers: PeerFigures, of: &crate::experiment::Peers) {
+        self.verdict.unheld.extend(peers.unheld(of.agree_within_s));
+        if peers.cut_off < of.cut_off_least {
+            let (found, least) = (peers.cut_off, of.cut_off_least);
+            self.verdict.unheld.push(format!("{found} found themselves cut off, {least} at the least"));
+        }
+        self.peers = Some(peers);
+    }
+}
+
 /// What befalls the proxies, each at its time; tells when each of them could not answer.
 fn befall(
     troubles: &[Trouble],
@@ -204,8 +345,10 @@
     targets: &Targets,
     epoch: Epoch,
     seed: u64,
+    peers: Option<&Between>,
 ) -> Vec<(usize, Micros, Micros)> {
     enum Step {
+        Link(Trouble, bool),
         Freeze,
         Thaw,
         Kill,
@@ -216,9 +359,15 @@
         let (begin, end) = match trouble.kind {
             FaultKind::Freeze => (Step::Freeze, Step::Thaw),
             FaultKind::Kill => (Step::Kill, Step::Restart),
+            kind if kind.is_of_link() => {
+                (Step::Link(trouble.clone(), true), Step::Link(trouble.clone(), false))
+            }
             _ => continue,
         };
         steps.push((trouble.at, begin, trouble.proxies.clone()));
+        if trouble.kind.is_of_link() && trouble.until.is_none() {
+            continue;
+        }
         // One that is killed for good would leave its clients without a proxy: it is back at once.
         steps.push((trouble.until.unwrap_or(trouble.at), end, trouble.proxies.clone()));
     }
@@ -226,13 +375,17 @@
     let (mut outages, mut since) = (Vec::new(), std::collections::HashMap::new());
     for (at, step, hit) in steps {
         thread::sleep(epoch.instant(at).saturating_duration_since(std::time::Instant::now()));
+        if let (Step::Link(trouble, on), Some(between)) = (&step, peers) {
+            between.turn(trouble, *on);
+            continue;
+        }
         for number in hit {
             let mut all = locked(proxies);
             let Some(proxy) = all.get_mut(number) else { continue };
             let now = epoch.now();
             match step {
                 Step::Freeze | Step::Kill => drop(since.insert(number, now.saturating_sub(OUTAGE_EDGE))),
-                Step::Thaw | Step::Restart => {}
+                Step::Thaw | Step::Restart | Step::Link(..) => {}
             }
             let done = match step {
                 Step::Freeze => proxy.freeze(true),
@@ -240,12 +393,15 @@
                 Step::Kill => {
                     targets.killed[number].fetch_add(1, Ordering::SeqCst);
                     proxy.kill();
+                    peers.into_iter().for_each(|between| between.killed(number));
                     Ok(())
                 }
                 Step::Restart => {
                     let list = fleet.list(number).unwrap_or_default();
-                    proxy.restart(seed ^ now, &list)
+                    let open = peers.map_or(Ok(()), |between| between.started(number));
+                    open.and_then(|()| proxy.restart(seed ^ now, &list))
                 }
+                Step::Link(..) => Ok(()),
             };
             if let Err(error) = done {
                 // The audit finds what follows from it.
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -29,6 +29,11 @@
     )
 }
 
+/// A fault, by its lines.
+pub fn fault(text: &str) -> String {
+    format!("[[fault]]\n{text}\n")
+}
+
 pub fn own() -> Through {
     Through::Program(Program::own(env!("CARGO_BIN_EXE_flaxhead-lab").into()))
 }
--- a/lab/tests/peers_net.rs
+++ b/lab/tests/peers_net.rs
@@ -211,3 +211,24 @@
     assert_eq!(net.mistakes(), 0);
     net.until(30 * SECOND, |net| net.agreed()).expect("they agree");
 }
+
+/// At every size and whatever is drawn, before others' suspicions could end.
+#[test]
+fn one_that_is_cut_off_finds_it_out_within_seconds() {
+    for count in [3, 5, 10, 30] {
+        for seed in 0..10 {
+            for (how, mute) in [(CutOff::Mute, true), (CutOff::Deaf, false)] {
+                let mut net = whole(count, seed);
+                for other in 1..count {
+                    let (from, to) = if mute { (0, other) } else { (other, 0) };
+                    net.link(from, to, Fault { loss: 1.0, ..Fault::default() });
+                }
+                let found = |net: &Net| net.machine(0).is_some_and(|m| m.cut_off() == Some(how));
+                let took = net.until(10 * SECOND, found);
+                assert!(took.is_some(), "{how:?} of {count}, seed {seed}");
+                net.run(20 * SECOND);
+                assert!(found(&net), "{how:?} of {count}, seed {seed}: it does not stay");
+            }
+        }
+    }
+}
--- a/lab/tests/runs.rs
+++ b/lab/tests/runs.rs
@@ -11,10 +11,6 @@
 const ONE_NODE: &str = "fleet = { nodes = [{ slots = 64, queue = 512, crowd = 600, idle_ms = 60000 }] }\n";
 const NODES: &str = "fleet = { nodes = [{ count = 6, slots = 64 }] }\n";
 
-fn fault(text: &str) -> String {
-    format!("[[fault]]\n{text}\n")
-}
-
 fn rules(done: &Done) -> Vec<Rule> {
     let mut rules: Vec<Rule> = done.breaches.iter().map(|breach| breach.rule).collect();
     rules.dedup();
--- a/membership/src/machine.rs
+++ b/membership/src/machine.rs
@@ -339,7 +339,8 @@
         }
         self.say_goodbye(now, out);
         self.look_at_oneself(now, out);
-        self.due = self.next_wake();
+        // What was due before it was known to be is not late.
+        self.due = self.next_wake().max(now);
     }
 
     /// A datagram came from an address.
@@ -401,7 +402,8 @@
             },
         }
         self.look_at_oneself(now, out);
-        self.due = self.next_wake();
+        // What was due before it was known to be is not late.
+        self.due = self.next_wake().max(now);
     }
 
     /// What a member's machine said.
