Take plug-ins in as members, and measure the membership in virtual time

Seen while measuring: an hour of ten members took twelve seconds and ever longer; each wake-up that an earlier one had overtaken began a chain of its own in the virtual network (0.1 s for the first five minutes, 1.2 s for the seventh).

--- a/lab/src/peers/virtual_net.rs
+++ b/lab/src/peers/virtual_net.rs
@@ -345,10 +345,13 @@
         if self.nodes[place].frozen && !matches!(event, Event::Asked { .. }) {
             if event == Event::Wake(place) {
                 self.nodes[place].wake = Micros::MAX;
+                return;
             }
             return self.nodes[place].waiting.push(event);
         }
         match event {
+            // One that an earlier one has overtaken.
+            Event::Wake(place) if self.nodes[place].wake != self.now => {}
             Event::Wake(place) => {
                 self.nodes[place].wake = Micros::MAX;
                 self.with(place, |machine, now, out| machine.tick(now, out));
--- a/lab/tests/plugin/main.rs
+++ b/lab/tests/plugin/main.rs
@@ -1,6 +1,7 @@
 //! The plug-in against hosts over HTTP/2 that do as they are told: what the protocol proves, what layers above repeat,
 //! and what a host application does to it.
 
+mod members;
 mod plain;
 mod rig;
 
--- a/rpc/src/lib.rs
+++ b/rpc/src/lib.rs
@@ -16,5 +16,5 @@
 pub use channel::{AnswerBody, Channel, Pending, PluginLayer, Request, ResponseFuture, Routed};
 pub use flaxhead_engine::{Health, Host, List};
 pub use grpc::{framed, Answer, Code, Pushback};
-pub use plugin::{Hosts, Plugin, StartError};
+pub use plugin::{Hosts, Peering, Plugin, StartError};
 pub use service::{Method, Problem, ServiceConfig};
--- a/rpc/src/plugin.rs
+++ b/rpc/src/plugin.rs
@@ -9,6 +9,8 @@
 use flaxhead_discovery::Discovery;
 use flaxhead_engine::{BoxError, Engine, List, News, Setup, Source, Watching};
 use flaxhead_limits::Budget;
+use flaxhead_membership::Name;
+use flaxhead_peers::{Peers, Shown};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -19,14 +21,16 @@
 use tokio::runtime;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
-use tokio::task::{JoinSet, LocalSet};
-use tokio::time::{sleep, Instant};
+use tokio::task::{spawn_local, JoinSet, LocalSet};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Pauses between attempts to connect to one host; the decision module's own backoff stands above it.
 const BACKOFF_FIRST: Duration = Duration::from_millis(100);
 const BACKOFF_MOST: Duration = Duration::from_secs(5);
 /// How long an unload waits for answers that are due at once.
 const UNLOAD_MOST: Duration = Duration::from_secs(1);
+/// How long [`Plugin::members`] waits for the engine's thread.
+const SHOW_MOST: Duration = Duration::from_secs(1);
 /// How often [`Plugin::close`] looks whether calls are open.
 const LOOK: Duration = Duration::from_millis(2);
 
@@ -46,6 +50,15 @@
     },
 }
 
+/// The membership among client proxies, with this plug-in as one of them.
+#[derive(Clone, Debug)]
+pub struct Peering {
+    /// Its name there, the same after a restart of the application.
+    pub name: Name,
+    /// Addresses, first contacts, cluster and the networks let in.
+    pub settings: flaxhead_peers::Settings,
+}
+
 /// Why a plug-in did not start.
 #[derive(Debug, thiserror::Error)]
 #[error("the plug-in did not start: {0}")]
@@ -55,6 +68,8 @@
 pub enum Command {
     /// A call.
     Call(Box<Job>),
+    /// Show the members, where there are peers.
+    Members(mpsc::SyncSender<Option<Shown>>),
     /// Answer all that is open, and end.
     Unload,
 }
@@ -70,6 +85,16 @@
 impl Plugin {
     /// Starts an engine on a thread of its own. `seed` is for random numbers; it must differ between plug-ins.
     pub fn start(config: ServiceConfig, hosts: Hosts, seed: u64) -> Result<Plugin, StartError> {
+        Plugin::start_among(config, hosts, seed, None)
+    }
+
+    /// The same, as a member among client proxies; with `None` it opens no socket for that.
+    pub fn start_among(
+        config: ServiceConfig,
+        hosts: Hosts,
+        seed: u64,
+        peering: Option<Peering>,
+    ) -> Result<Plugin, StartError> {
         let config = Arc::new(config);
         let wakers = Wakers::start()?;
         let (commands, orders) = unbounded_channel();
@@ -81,7 +106,7 @@
                 // Whoever started it waits for this.
                 Err(error) => return drop(started.send(Err(error))),
             };
-            LocalSet::new().block_on(&runtime, work(told, hosts, seed, orders, started));
+            LocalSet::new().block_on(&runtime, work(told, hosts, seed, peering, orders, started));
         })?;
         starts.recv().unwrap_or_else(|_| Err(io::Error::other("its thread ended")))?;
         let way = Way { commands: commands.clone(), wakers, open: Arc::default(), most: config.open_most };
@@ -94,6 +119,14 @@
         self.channel.clone()
     }
 
+    /// The members that it knows; `None` where it has no peers, or its engine has ended. It waits for the engine's
+    /// thread, a second at the most.
+    pub fn members(&self) -> Option<Shown> {
+        let (show, shown) = mpsc::sync_channel(1);
+        self.commands.send(Command::Members(show)).ok()?;
+        shown.recv_timeout(SHOW_MOST).ok().flatten()
+    }
+
     /// Takes no more calls, waits until all are answered but for no longer than `grace`, and unloads.
     pub fn close(self, grace: Duration) {
         self.channel.close();
@@ -120,6 +153,7 @@
     config: Arc<ServiceConfig>,
     hosts: Hosts,
     seed: u64,
+    peering: Option<Peering>,
     mut orders: UnboundedReceiver<Command>,
     started: mpsc::SyncSender<io::Result<()>>,
 ) {
@@ -144,6 +178,14 @@
     // The budget goes by the engine's clock, which counts from Unix time.
     let budget = config.budget.map(|spec| Rc::new(RefCell::new(Budget::new(spec, 0))));
     let retries = budget.clone().map(|budget| Box::new(Shared(budget)) as _);
+    // Of the seed, and not the module's: what peers do must not shift its draws.
+    let peers = peering.map(|Peering { name, settings }| Peers::bind(settings, name, !seed)).transpose();
+    let peers = match peers {
+        Ok(peers) => peers,
+        // Whoever started it waits for this.
+        Err(error) => return drop(started.send(Err(error))),
+    };
+    let taking_part = peers.clone().map(|peers| spawn_local(async move { peers.serve().await }));
     let setup = Setup { seed, settings: config.settings.clone(), known };
     let engine = Engine::start(setup, transport, source, Vec::new(), retries);
     let front = Front::new(engine.clone(), config, budget);
@@ -155,6 +197,8 @@
         tokio::select! {
             command = orders.recv() => match command {
                 Some(Command::Call(job)) => drop(calls.spawn_local(front.clone().serve(*job))),
+                // One that waits no longer has no use for it.
+                Some(Command::Members(show)) => drop(show.try_send(peers.as_ref().map(Peers::shown))),
                 Some(Command::Unload) | None => break,
             },
             Some(_) = calls.join_next() => {}
@@ -171,6 +215,10 @@
             () = sleep(LOOK) => {}
         }
     }
+    if let Some(peers) = peers {
+        let _ = timeout(UNLOAD_MOST, peers.leave()).await;
+    }
+    drop(taking_part);
     engine.log_counts();
 }
 
