--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -57,8 +57,8 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
-/// Calls to a cold server whose answers this balancer sees to be in time, as times its least part: it warms up sooner
-/// the more it works, and is half as far again from the 2.5 times at which the rules let it fall.
+/// Calls to a cold server whose answers this balancer sees to be in time, as times its least part: it warms
+/// up sooner the more it works, and 2.5 times is what the rules let it be sent.
 const COLD_SEEN: f64 = 1.5;
 /// Parts of a turn that the first one of a cold server is drawn from.
 const TURN_PARTS: u64 = 1 << 16;
