Ask the side port by the one client there is, and build no full list to throw it away

A question over a connection, and its answer, built the whole exchange (a word on each member) and cleared it; the rig had its own HTTP client for /members.json beside that of flaxhead members; Rig and the run kept side ports that the relay has; agree and agreed were one check in two halves; gossip took a time that it did not use.

Change: Machine::bare makes a packet without updates, which send, exchange, check and answer share; rig::shown calls members::ask, so a stopped proxy is waited for 3 s in place of 2; ports come from the relay; one agreed in rig.rs. Nothing else behaves differently.

--- a/lab/src/peers/judge.rs
+++ b/lab/src/peers/judge.rs
@@ -1,6 +1,6 @@
 //! Judges what proxies show of each other: by their side ports, never by their logs.
 
-use super::rig::{agree, Shown};
+use super::rig::Shown;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -89,8 +89,3 @@
         mistaken.chain(apart).chain(unseen).collect()
     }
 }
-
-/// Whether all of these that run show each other, in one view, and nobody else.
-pub fn agreed(shown: &[(usize, Shown)], running: &[String]) -> bool {
-    shown.len() == running.len() && agree(shown, running)
-}
--- a/lab/src/peers/rig.rs
+++ b/lab/src/peers/rig.rs
@@ -5,17 +5,13 @@
 use crate::proxy::{configuration, free_address, Program, Proxy};
 use serde_json::{json, Value};
 use std::fs;
-use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// How long a side port may take to answer.
-const SIDE_WAIT: Duration = Duration::from_secs(2);
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
-/// Longest answer of a side port.
-const ANSWER_MOST: u64 = 8 << 20;
 
 /// What a proxy shows of the members.
 #[derive(Clone, Debug, serde::Deserialize)]
@@ -71,7 +67,6 @@
     /// What is between them.
     pub relay: Relay,
     proxies: Vec<Option<Proxy>>,
-    sides: Vec<SocketAddr>,
     program: Program,
     folder: PathBuf,
     seed: u64,
@@ -84,12 +79,13 @@
 }
 
 /// An operators' file for one process: its peers and a side port.
-pub fn own_file(relay: &Relay, place: usize, side: u16, contacts: &[usize]) -> String {
+pub fn own_file(relay: &Relay, place: usize, contacts: &[usize]) -> String {
     let contacts: Vec<String> =
         contacts.iter().map(|&c| format!("{:?}", relay.front(c).to_string())).collect();
     format!(
-        "[status]\nlisten_port = {side}\nrefresh_ms = 1000\n[peers]\nlisten = \"{}\"\nadvertise = \"{}\"\n\
+        "[status]\nlisten_port = {}\nrefresh_ms = 1000\n[peers]\nlisten = \"{}\"\nadvertise = \"{}\"\n\
          contacts = [{}]\ncluster = \"rig\"\nnetworks = [\"127.0.0.0/8\"]\n",
+        relay.side(place).port(),
         relay.own(place),
         relay.front(place),
         contacts.join(", "),
@@ -101,12 +97,10 @@
     pub fn start(count: usize, program: Program, folder: &Path, seed: u64) -> io::Result<Rig> {
         let relay = Relay::start(count, seed)?;
         let names = (0..count).map(name).collect();
-        let (proxies, sides) = ((0..count).map(|_| None).collect(), Vec::new());
-        let mut rig = Rig { relay, proxies, sides, program, folder: folder.into(), seed, starts: 0, names };
+        let proxies = (0..count).map(|_| None).collect();
+        let mut rig = Rig { relay, proxies, program, folder: folder.into(), seed, starts: 0, names };
         for place in 0..count {
-            let side = rig.relay.side(place);
-            rig.sides.push(side);
-            fs::write(rig.own_path(place), own_file(&rig.relay, place, side.port(), &[0, 1]))?;
+            fs::write(rig.own_path(place), own_file(&rig.relay, place, &[0, 1]))?;
         }
         (0..count).try_for_each(|place| rig.launch(place))?;
         rig.proxies.iter_mut().flatten().try_for_each(Proxy::ready)?;
@@ -144,11 +138,6 @@
         (0..self.proxies.len()).filter(|&place| self.proxies[place].is_some()).collect()
     }
 
-    /// Where a process's side port is.
-    pub fn side(&self, place: usize) -> SocketAddr {
-        self.sides[place]
-    }
-
     /// Kills a process.
     pub fn kill(&mut self, place: usize) {
         if let Some(mut proxy) = self.proxies[place].take() {
@@ -199,7 +188,7 @@
 
     /// What a process shows.
     pub fn shown(&self, place: usize) -> io::Result<Shown> {
-        shown(self.sides[place])
+        shown(self.relay.side(place))
     }
 
     /// What all show that run and answer.
@@ -210,8 +199,7 @@
     /// Whether all that run show each other, in one view, and nobody else.
     pub fn agreed(&self) -> bool {
         let running: Vec<String> = self.running().into_iter().map(name).collect();
-        let shown = self.all_shown();
-        shown.len() == running.len() && agree(&shown, &running)
+        agreed(&self.all_shown(), &running)
     }
 
     /// Looks until something holds; how long it took. An error says what was shown last.
@@ -228,16 +216,17 @@
     }
 }
 
-/// Whether views are the same and name just these.
-pub fn agree(shown: &[(usize, Shown)], running: &[String]) -> bool {
+/// Whether all of these that run show each other, in one view, and nobody else.
+pub fn agreed(shown: &[(usize, Shown)], running: &[String]) -> bool {
     let mut wanted: Vec<&str> = running.iter().map(String::as_str).collect();
     wanted.sort_unstable();
     let first = shown.first().map(|(_, s)| s.digest.as_str());
-    shown.iter().all(|(_, s)| {
+    let alike = shown.iter().all(|(_, s)| {
         let mut names = s.running();
         names.sort_unstable();
         names == wanted && Some(s.digest.as_str()) == first
-    })
+    });
+    alike && shown.len() == running.len()
 }
 
 fn brief(place: usize, shown: &Shown) -> String {
@@ -248,11 +237,6 @@
 
 /// What the process with this side port shows.
 pub fn shown(side: SocketAddr) -> io::Result<Shown> {
-    let mut stream = TcpStream::connect_timeout(&side, SIDE_WAIT)?;
-    stream.set_read_timeout(Some(SIDE_WAIT))?;
-    stream.write_all(b"GET /members.json HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n")?;
-    let mut answer = Vec::new();
-    stream.take(ANSWER_MOST).read_to_end(&mut answer)?;
-    let head = answer.windows(4).position(|w| w == b"\r\n\r\n").ok_or(io::ErrorKind::UnexpectedEof)?;
-    serde_json::from_slice(&answer[head + 4..]).map_err(io::Error::other)
+    let (text, _) = flaxhead_proxy::members::ask(side)?;
+    serde_json::from_str(&text).map_err(io::Error::other)
 }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -8,9 +8,9 @@
 use crate::load::schedule::{Arrival, Schedule, Trouble};
 use crate::load::sender::{self, histogram, Live, Mode, Sent, Targets};
 use crate::model::node::Micros;
-use crate::peers::judge::{agreed, Judge, PeerFigures};
+use crate::peers::judge::{Judge, PeerFigures};
 use crate::peers::relay::Relay;
-use crate::peers::rig::{own_file, shown, Shown};
+use crate::peers::rig::{agreed, own_file, shown, Shown};
 use crate::proxy::{configuration, free_address, Program, Proxy, Usage};
 use crate::Epoch;
 use hdrhistogram::serialization::interval_log::{IntervalLogWriterBuilder, Tag};
@@ -224,7 +224,6 @@
 /// What is between proxies that know of each other.
 struct Between {
     relay: Relay,
-    sides: Vec<SocketAddr>,
     running: Mutex<Vec<bool>>,
     judge: Mutex<Judge>,
     ended: AtomicBool,
@@ -233,15 +232,14 @@
 impl Between {
     fn start(count: usize, seed: u64) -> io::Result<Between> {
         let relay = Relay::start(count, seed)?;
-        let sides = (0..count).map(|place| relay.side(place)).collect();
         let (running, judge, ended) =
             (Mutex::new(vec![true; count]), Mutex::default(), AtomicBool::new(false));
-        Ok(Between { relay, sides, running, judge, ended })
+        Ok(Between { relay, running, judge, ended })
     }
 
     fn own_file(&self, number: usize, folder: &Path) -> io::Result<PathBuf> {
         let path = folder.join(format!("n{number}.toml"));
-        fs::write(&path, own_file(&self.relay, number, self.sides[number].port(), &[0, 1]))?;
+        fs::write(&path, own_file(&self.relay, number, &[0, 1]))?;
         Ok(path)
     }
 
@@ -297,7 +295,7 @@
         while !self.ended.load(Ordering::SeqCst) {
             for place in self.places() {
                 // One that is stopped, or just killed, shows nothing.
-                if let Ok(shown) = shown(self.sides[place]) {
+                if let Ok(shown) = shown(self.relay.side(place)) {
                     Between::held(&self.judge).see(&shown);
                 }
             }
@@ -312,8 +310,10 @@
         while start.elapsed() < within {
             let places = self.places();
             let names: Vec<String> = places.iter().map(|place| format!("n{place}")).collect();
-            let all: Vec<(usize, Shown)> =
-                places.iter().filter_map(|&place| Some((place, shown(self.sides[place]).ok()?))).collect();
+            let all: Vec<(usize, Shown)> = places
+                .iter()
+                .filter_map(|&place| Some((place, shown(self.relay.side(place)).ok()?)))
+                .collect();
             if agreed(&all, &names) {
                 return Some(start.elapsed().as_secs_f64());
             }
--- a/lab/tests/peers_judge.rs
+++ b/lab/tests/peers_judge.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use flaxhead_lab::peers::judge::{agreed, Judge};
-use flaxhead_lab::peers::rig::Shown;
+use flaxhead_lab::peers::judge::Judge;
+use flaxhead_lab::peers::rig::{agreed, Shown};
 use serde_json::json;
 
 fn shown(me: &str, members: &[(&str, &str, &str)]) -> Shown {
--- a/membership/src/machine.rs
+++ b/membership/src/machine.rs
@@ -328,7 +328,7 @@
         }
         if now >= self.timers.gossip && !self.queue.is_empty() {
             self.timers.gossip = now + self.config.gossip_every;
-            self.gossip(now, out);
+            self.gossip(out);
         }
         if now >= self.timers.sync {
             let every = self.sync_every();
@@ -438,12 +438,17 @@
         };
     }
 
+    /// A packet that says nothing of others, for a question or an answer over a connection.
+    pub fn bare(&self, kind: Kind) -> Packet {
+        Packet { from: self.table.me().clone(), digest: self.table.digest(), kind, updates: Vec::new() }
+    }
+
     /// All that is known, for a full exchange.
     pub fn exchange(&self) -> Packet {
-        let from = self.table.me().clone();
-        let names = self.table.iter().filter(|m| m.card.name != from.name).map(|m| &m.card.name);
+        let me = &self.table.me().name;
+        let names = self.table.iter().map(|m| &m.card.name).filter(|name| *name != me);
         let updates = names.filter_map(|name| self.table.update(name)).collect();
-        Packet { from, digest: self.table.digest(), kind: Kind::News, updates }
+        Packet { updates, ..self.bare(Kind::News) }
     }
 
     /// The other side of a full exchange, from an address.
@@ -1035,7 +1040,7 @@
 
     // What is sent.
 
-    fn gossip(&mut self, _: Micros, out: &mut Vec<Effect>) {
+    fn gossip(&mut self, out: &mut Vec<Effect>) {
         for name in self.sample(self.config.fanout, None) {
             let Some(to) = self.table.get(&name).map(|m| m.card.at) else { continue };
             self.send(Some(&name), to, Kind::News, out);
@@ -1142,8 +1147,7 @@
         updates.extend(told);
         room = room.saturating_sub(updates.iter().map(Update::bytes).sum());
         updates.extend(self.queue.take(room));
-        let (from, digest) = (self.table.me().clone(), self.table.digest());
-        out.push(Effect::Send { to, packet: Packet { from, digest, kind, updates } });
+        out.push(Effect::Send { to, packet: Packet { updates, ..self.bare(kind) } });
     }
 
     fn next_seq(&mut self) -> u32 {
--- a/peers/src/driver.rs
+++ b/peers/src/driver.rs
@@ -229,10 +229,11 @@
         let Ok(_place) = self.0.asking.try_acquire() else { return };
         let verdict = match timeout(CHECK_WAIT, self.connect(at)).await {
             Ok(Ok(stream)) => {
-                let mut packet = self.0.machine.borrow().exchange();
-                packet.updates.clear();
                 // The name is not asked for: whoever answers says who it is.
-                packet.kind = Kind::Ping { seq, to: packet.from.name.clone() };
+                let packet = {
+                    let machine = self.0.machine.borrow();
+                    machine.bare(Kind::Ping { seq, to: machine.table().me().name.clone() })
+                };
                 match timeout(CHECK_WAIT, self.ask(stream, &packet)).await {
                     Ok(Ok(answer)) => Verdict::Answered(answer.from),
                     // What breaks a connection may be on the way; what only waits is the process.
@@ -329,16 +330,19 @@
 
     async fn answer(&self, mut stream: TcpStream, source: SocketAddr) -> io::Result<()> {
         let packet = self.read(&mut stream).await?;
-        let mut answer = self.0.machine.borrow().exchange();
-        match packet.kind {
+        let answer = match packet.kind {
             Kind::Ping { seq, .. } => {
-                answer.updates.clear();
-                answer.kind = Kind::Ack { seq };
+                let answer = self.0.machine.borrow().bare(Kind::Ack { seq });
                 let news = Packet { kind: Kind::News, ..packet };
                 self.step(|machine, now, out| machine.receive(now, source, news, out));
+                answer
             }
-            _ => self.step(|machine, now, out| machine.exchanged(now, source, packet, out)),
-        }
+            _ => {
+                let answer = self.0.machine.borrow().exchange();
+                self.step(|machine, now, out| machine.exchanged(now, source, packet, out));
+                answer
+            }
+        };
         self.0.stirred.notify_one();
         self.write(&mut stream, &answer).await
     }
