Settle which host goes next among the proxies: leases without a disk, checked exhaustively

Need: hosts are drained by hand, and nobody knows whether somebody drains another elsewhere.

accord/ is a state machine without I/O or clock. Who hands out turns is settled by PaxosLease among the voters of the operators' file; who may send is kept by a majority of them; what is left alone every process on that roster has heard before a host is told free, or its permission has run out by its own clock. A restarted voter is silent for longer than any lease that it may have granted and asks the others what it has forgotten.

Eight rules, each taken out once, are missed by the check every time.

--- /dev/null
+++ b/accord/src/config.rs
@@ -0,0 +1,64 @@
+//! How the protocol is paced.
+
+use crate::plan::Limits;
+use crate::Micros;
+
+/// Clocks of two machines run apart by less than one part in this many.
+const DRIFT: Micros = 64;
+
+/// Settings of one process; the spans must be the same at all.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// How long a lease lasts, a holder's as well as each proxy's permission. It bounds the pause in which nobody hands
+    /// out turns; pauses of a process of half that length are borne.
+    pub lease: Micros,
+    /// The longest that a request may take: what a proxy that is no longer heard may still have in hand.
+    pub longest_call: Micros,
+    /// How long a host may take to get free before its turn is given up.
+    pub drain_most: Micros,
+    /// After all voters have forgotten: how long nothing new is settled, unless the operators say that all is known.
+    pub cold_wait: Micros,
+    /// How long a restarted proxy that nobody answers sends nothing; then it serves by its own judgement.
+    pub alone_after: Micros,
+    /// How long a host that came back counts as out, if it does not show itself warm.
+    pub back_most: Micros,
+    /// What may be out.
+    pub limits: Limits,
+    /// Ended turns that are remembered.
+    pub past_most: usize,
+    /// Open turns at the most.
+    pub open_most: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            lease: 6_000_000,
+            longest_call: 10_000_000,
+            drain_most: 600_000_000,
+            cold_wait: 3_600_000_000,
+            alone_after: 60_000_000,
+            back_most: 120_000_000,
+            limits: Limits::default(),
+            past_most: 64,
+            open_most: 256,
+        }
+    }
+}
+
+impl Config {
+    /// A span as the other side's clock may see it at the longest.
+    pub(crate) fn longest(span: Micros) -> Micros {
+        span + span / DRIFT + 1
+    }
+
+    /// How long a restarted voter is silent: longer than any lease that it may have granted.
+    pub(crate) fn silence(&self) -> Micros {
+        Config::longest(Config::longest(self.lease))
+    }
+
+    /// How often leases and permissions are renewed: three tries fall into each.
+    pub(crate) fn renew_every(&self) -> Micros {
+        (self.lease / 4).max(1)
+    }
+}
--- /dev/null
+++ b/accord/tests/model.rs
@@ -0,0 +1,616 @@
+//! Three voters, two hosts, one of which may be out at a time: checked exhaustively on the real machines over every
+//! place at which a message is lost or comes again later, a process crashes and forgets, freezes for longer than its
+//! lease, or is cut off in one direction or both. A step is a sixth of a lease in which all that is sent arrives, but for
+//! what the fault takes; so a fault falls between any two messages.
+
+use flaxhead_accord::{
+    Around, Ask, Ballot, Board, Config, Effect, Facts, HostFact, Known, Machine, MemberFact, Message, Micros,
+    Name, Order, Presence, Process, Roster, Serving, Stage, Usage, Voters,
+};
+use rand_core::RngCore;
+use stateright::{Checker, Model, Property};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+const NODES: usize = 3;
+const LEASE: Micros = 600;
+const STEP: Micros = 100;
+/// Steps of a fault that lasts: longer than a lease, and than the silence of a restarted voter.
+const LASTS: u8 = 9;
+/// Steps in which faults may begin, and those after which both hosts must have been out and back.
+const FAULTY: u8 = 14;
+const ENDS: u8 = 80;
+/// Most messages of a step: beyond that it would never end.
+const STORM: usize = 2_000;
+
+/// A rule that is taken out, to see that the check sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Broken {
+    Nothing,
+    /// A restarted voter votes at once, as if it had forgotten nothing: it neither stays silent nor asks the others.
+    Silence,
+    /// The holder takes everybody's word for confirmed.
+    AllConfirm,
+    /// A proxy that hears nobody sends on.
+    PermissionEnds,
+    /// A restarted proxy sends before it is let in.
+    AsksFirst,
+    /// The holder is not told what is in hand.
+    Drains,
+    /// A holder's clock stands still while it is frozen.
+    LeaseEnds,
+    /// The proxies go by other limits than the operators.
+    Limits,
+    /// An older board counts where it comes late.
+    Newest,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Lasting {
+    /// Stopped, with all that comes meanwhile waiting for it.
+    Frozen,
+    Apart,
+    Deaf,
+    Mute,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    step: u8,
+    nodes: Vec<Machine>,
+    /// Away since the step's beginning, or from one of its messages on.
+    lasting: Option<(usize, Lasting, u8)>,
+    /// What waits for a frozen one.
+    waiting: Vec<(usize, Message)>,
+    /// A message that comes again.
+    kept: Option<(usize, usize, Message)>,
+    faults: u8,
+    lives: u64,
+    /// Calls in hand, by node and host, until a step.
+    in_hand: BTreeMap<(usize, String), u8>,
+    /// Hosts that an operator was told are free, and with which step.
+    free: BTreeMap<String, u8>,
+    back: BTreeSet<String>,
+    fences: BTreeSet<Ballot>,
+    wrong: Option<&'static str>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Act {
+    Nothing,
+    /// The message of this place in the step is lost.
+    Lose(usize),
+    /// It is delivered, and once more later.
+    Keep(usize),
+    /// The kept one comes.
+    Again,
+    /// Before the message of this place.
+    Crash(usize, usize),
+    Begin(usize, Lasting, usize),
+}
+
+struct Fleet {
+    broken: Broken,
+    /// Faults in one history.
+    faults: u8,
+    /// Faults fall between any two messages, not only between steps.
+    fine: bool,
+    first: World,
+}
+
+/// Draws what each node always draws: two that run at once must not do so for ever.
+struct Fixed(u32);
+
+impl RngCore for Fixed {
+    fn next_u32(&mut self) -> u32 {
+        self.0
+    }
+
+    fn next_u64(&mut self) -> u64 {
+        u64::from(self.0) << 32
+    }
+
+    fn fill_bytes(&mut self, to: &mut [u8]) {
+        to.fill(self.0 as u8);
+    }
+
+    fn try_fill_bytes(&mut self, to: &mut [u8]) -> Result<(), rand_core::Error> {
+        self.fill_bytes(to);
+        Ok(())
+    }
+}
+
+fn name(node: usize) -> Name {
+    Name::new(&format!("n{node}")).expect("a name")
+}
+
+fn host(number: usize) -> String {
+    format!("h{number}")
+}
+
+fn ask(host: String) -> Ask {
+    let (kind, by) = ("kernel".to_owned(), "ops".to_owned());
+    Ask { host, kind, by, lasts: 1_000, not_before: 0, not_after: None, already_out: false }
+}
+
+fn at(node: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, node as u8 + 1], 7_000))
+}
+
+fn now(step: u8) -> Micros {
+    10 * LEASE + Micros::from(step) * STEP
+}
+
+impl Fleet {
+    fn new(broken: Broken, faults: u8, fine: bool) -> Fleet {
+        let mut first = World {
+            step: 0,
+            nodes: Vec::new(),
+            lasting: None,
+            waiting: Vec::new(),
+            kept: None,
+            faults: 0,
+            lives: 0,
+            in_hand: BTreeMap::new(),
+            free: BTreeMap::new(),
+            back: BTreeSet::new(),
+            fences: BTreeSet::new(),
+            wrong: None,
+        };
+        for node in 0..NODES {
+            let machine = machine(broken, node, &mut first, true);
+            first.nodes.push(machine);
+        }
+        let mut fleet = Fleet { broken, faults, fine, first };
+        let mut world = fleet.first.clone();
+        // Until one holds, all are let in and the operators have said that nothing is out yet.
+        for _ in 0..30 {
+            world = fleet.next(&world, Act::Nothing);
+            if let Some(holder) = (0..NODES).find(|n| world.nodes[*n].holds(now(world.step)).is_some()) {
+                fleet.order(&mut world, holder, Order::Known { by: "ops".to_owned() });
+            }
+        }
+        assert!(world.nodes.iter().all(|n| n.serving(now(world.step)) == Serving::Admitted), "{world:?}");
+        for number in 0..2 {
+            fleet.order(&mut world, number, Order::Ask(ask(host(number))));
+        }
+        let held = |node| ((node, host(0)), 3);
+        world.in_hand = BTreeMap::from([held(1), held(2)]);
+        fleet.first = world;
+        fleet
+    }
+
+    fn facts(&self, world: &World, of: usize) -> Facts {
+        let fact = HostFact {
+            zone: "z".to_owned(),
+            pod: 0,
+            ready: true,
+            failing: false,
+            warmth: 1_000,
+            weight: 1_000,
+        };
+        let away = |node: usize| world.lasting.is_some_and(|(who, _, _)| who == node || who == of);
+        let member = |node: usize| {
+            let presence = if away(node) { Presence::Silent } else { Presence::Runs };
+            let life = world.nodes[node].me().life;
+            (name(node), MemberFact { life, at: at(node), presence, since: 0 })
+        };
+        Facts {
+            hosts: (0..2).map(|number| (host(number), fact.clone())).collect(),
+            members: (0..NODES).filter(|node| *node != of).map(member).collect(),
+            lost_zones: BTreeSet::new(),
+            takes_part: true,
+        }
+    }
+
+    fn order(&self, world: &mut World, node: usize, order: Order) {
+        let (facts, time) = (self.facts(world, node), now(world.step));
+        let mut random = Fixed((node as u32) << 30);
+        let mut around = Around { now: time, facts: &facts, random: &mut random };
+        // What it sends is lost; it is sent again.
+        world.nodes[node].order(&mut around, time + node as u64, order, 20 * LEASE, &mut Vec::new());
+    }
+
+    fn hears(&self, world: &World, node: usize) -> bool {
+        !matches!(world.lasting, Some((who, Lasting::Apart | Lasting::Deaf, _)) if who == node)
+    }
+
+    fn is_heard(&self, world: &World, node: usize) -> bool {
+        !matches!(world.lasting, Some((who, Lasting::Apart | Lasting::Mute, _)) if who == node)
+    }
+
+    fn is_frozen(&self, world: &World, node: usize) -> bool {
+        matches!(world.lasting, Some((who, Lasting::Frozen, _)) if who == node)
+    }
+
+    /// The time as a node sees it.
+    fn time(&self, world: &World, node: usize) -> Micros {
+        match world.lasting {
+            Some((who, Lasting::Frozen, left)) if who == node && self.broken == Broken::LeaseEnds => {
+                now(world.step.saturating_sub(LASTS - left))
+            }
+            _ => now(world.step),
+        }
+    }
+
+    fn react(
+        &self,
+        world: &mut World,
+        node: usize,
+        message: Option<(usize, Message)>,
+    ) -> Vec<(usize, usize, Message)> {
+        let facts = self.facts(world, node);
+        let time = self.time(world, node);
+        let mut random = Fixed((node as u32) << 30);
+        let mut around = Around { now: time, facts: &facts, random: &mut random };
+        let mut out = Vec::new();
+        let in_hand = |number: usize| {
+            let held = world
+                .in_hand
+                .get(&(node, host(number)))
+                .is_some_and(|until| world.step < *until + self.first.step);
+            (host(number), u32::from(held && self.broken != Broken::Drains))
+        };
+        let in_hand = (0..2).map(in_hand).collect();
+        world.nodes[node].use_of_hosts(Usage { in_hand, load: 0 });
+        match message {
+            None => world.nodes[node].tick(&mut around, &mut out),
+            Some((from, message)) => {
+                let message = self.tampered(world, node, message);
+                world.nodes[node].receive(&mut around, &name(from), message, &mut out);
+            }
+        }
+        self.judge(world);
+        let to = |name: &Name| (0..NODES).find(|n| world.nodes[*n].me().name == *name);
+        out.into_iter()
+            .filter_map(|effect| match effect {
+                Effect::Send { to: name, message } => Some((node, to(&name)?, message)),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// What a broken rule makes of a message.
+    fn tampered(&self, world: &World, to: usize, mut message: Message) -> Message {
+        match (&mut message, self.broken) {
+            (Message::Renew(renewal), Broken::AllConfirm) => {
+                renewal.version = world.nodes[to].board().version.clone();
+            }
+            (Message::Tell { board }, Broken::Newest) => {
+                let own = &world.nodes[to].board().version;
+                if board.version < *own {
+                    board.version = own.clone();
+                }
+            }
+            _ => {}
+        }
+        message
+    }
+
+    fn judge(&self, world: &mut World) {
+        let mut wrong = None;
+        for node in 0..NODES {
+            for turn in &world.nodes[node].board().turns {
+                if turn.free && turn.stage == Stage::Out && !world.back.contains(&turn.ask.host) {
+                    world.free.entry(turn.ask.host.clone()).or_insert(world.step);
+                }
+            }
+        }
+        let holding: Vec<&Ballot> =
+            (0..NODES).filter_map(|n| world.nodes[n].holds(self.time(world, n))).collect();
+        if holding.len() > 1 {
+            wrong = Some("two hold at once");
+        }
+        let highest = world.fences.last();
+        if holding.iter().any(|b| !world.fences.contains(b) && highest.is_some_and(|h| h > b)) {
+            wrong = Some("a fence went back");
+        }
+        world.fences.extend(holding.into_iter().cloned().collect::<Vec<_>>());
+        let out = world.free.keys().filter(|host| !world.back.contains(*host));
+        if out.clone().count() > 1 {
+            wrong = Some("more out than may be");
+        }
+        for host in out {
+            for node in (0..NODES).filter(|node| !self.is_frozen(world, *node)) {
+                if self.sends(world, node, host) {
+                    wrong = Some("something new is sent to a host that was told free");
+                }
+                let until = world.in_hand.get(&(node, host.clone())).copied().unwrap_or(0);
+                if world.step < until + self.first.step && until > 0 {
+                    wrong = Some("something runs at a host that was told free");
+                }
+            }
+        }
+        world.wrong = world.wrong.or(wrong);
+    }
+
+    fn sends(&self, world: &World, node: usize, host: &str) -> bool {
+        let (machine, time) = (&world.nodes[node], now(world.step));
+        let spared = |from: Option<Micros>| from.is_none_or(|from| time < from);
+        let from = machine.spared().into_iter().find(|(name, _)| name == host).map(|(_, from)| from);
+        match self.broken {
+            Broken::PermissionEnds => machine.serving(time) != Serving::Waits && from != Some(0),
+            Broken::AsksFirst => spared(from),
+            _ => machine.may_send(time, host),
+        }
+    }
+
+    fn crash(&self, world: &mut World, node: usize) {
+        let fresh = machine(self.broken, node, world, false);
+        world.nodes[node] = fresh;
+        if self.broken == Broken::Silence {
+            let (roster, board, promised) = Default::default();
+            self.react(world, node, None);
+            for other in (0..NODES).filter(|other| *other != node) {
+                let known = Known::Sure;
+                let forged = Message::Recalled {
+                    nonce: 1,
+                    known,
+                    promised: Option::clone(&promised),
+                    lease_left: 0,
+                    roster: Roster::clone(&roster),
+                    board: Board::clone(&board),
+                };
+                self.react(world, node, Some((other, forged)));
+            }
+        }
+        // What it had in hand is gone with it.
+        world.in_hand.retain(|(who, _), _| *who != node);
+    }
+
+    /// A step, and how many messages there were in it.
+    fn run(&self, world: &World, act: Act) -> (World, usize) {
+        let mut world = world.clone();
+        world.step += 1;
+        let mut on_the_way = VecDeque::new();
+        if let Some((_, _, left)) = &mut world.lasting {
+            *left -= 1;
+            if *left == 0 {
+                let woken = world.lasting.take();
+                let waiting = std::mem::take(&mut world.waiting);
+                if let Some((node, Lasting::Frozen, _)) = woken {
+                    // It goes on where it was, before any timer of its own.
+                    self.judge(&mut world);
+                    on_the_way.extend(waiting.into_iter().map(|(from, message)| (from, node, message)));
+                }
+            }
+        }
+        if act == Act::Again {
+            on_the_way.extend(world.kept.take());
+        }
+        if !matches!(act, Act::Nothing | Act::Again) {
+            world.faults += 1;
+        }
+        for node in 0..NODES {
+            if !self.is_frozen(&world, node) {
+                on_the_way.extend(self.react(&mut world, node, None));
+            }
+        }
+        if self.first.step > 0 {
+            self.operators(&mut world);
+        }
+        let mut place = 0;
+        while let Some((from, to, message)) = on_the_way.pop_front() {
+            match act {
+                Act::Crash(node, when) if when == place => self.crash(&mut world, node),
+                Act::Begin(node, how, when) if when == place => world.lasting = Some((node, how, LASTS)),
+                Act::Keep(which) if which == place => world.kept = Some((from, to, message.clone())),
+                _ => {}
+            }
+            place += 1;
+            assert!(place < STORM, "a storm: {message:?}");
+            if act == Act::Lose(place - 1) || !self.hears(&world, to) || !self.is_heard(&world, from) {
+                continue;
+            }
+            if self.is_frozen(&world, to) {
+                world.waiting.push((from, message));
+                continue;
+            }
+            // A process that has gone says nothing more; what it said before arrives.
+            on_the_way.extend(self.react(&mut world, to, Some((from, message))));
+        }
+        (world, place)
+    }
+
+    /// Where the proxies have forgotten and all of them are there again, the operators say what is out, and that it is
+    /// all.
+    fn remember(&self, world: &mut World) {
+        let time = now(world.step);
+        let forgot = |node: &usize| world.nodes[*node].view(time).forgotten;
+        let Some(node) = (0..NODES).find(forgot).filter(|_| world.lasting.is_none()) else { return };
+        let out: Vec<String> = world.free.keys().filter(|h| !world.back.contains(*h)).cloned().collect();
+        for host in &out {
+            if world.nodes[node].board().of_host(host).is_none_or(|turn| turn.stage < Stage::Out) {
+                self.order(world, node, Order::Ask(Ask { already_out: true, ..ask(host.clone()) }));
+            }
+        }
+        self.order(world, node, Order::Known { by: "ops".to_owned() });
+    }
+
+    /// Work that was told free is done three steps later, wherever that is heard.
+    fn operators(&self, world: &mut World) {
+        self.remember(world);
+        // Whoever waits asks again.
+        for (node, host) in (0..2).map(|n| (n, host(n))) {
+            let unseen = !world.free.contains_key(&host) && world.step.is_multiple_of(10);
+            if unseen && !self.is_frozen(world, node) {
+                self.order(world, node, Order::Ask(ask(host)));
+            }
+        }
+        let ready: Vec<String> = world
+            .free
+            .iter()
+            .filter(|(h, at)| world.step >= **at + 3 && !world.back.contains(*h))
+            .map(|(h, _)| h.clone())
+            .collect();
+        for host in ready {
+            // The host serves from here on, whenever the proxies hear of it.
+            world.back.insert(host);
+        }
+        for host in world.back.clone() {
+            for node in 0..NODES {
+                let turn = world.nodes[node].board().of_host(&host).filter(|turn| turn.stage == Stage::Out);
+                if let Some(turn) = turn.map(|turn| turn.id).filter(|_| !self.is_frozen(world, node)) {
+                    self.order(world, node, Order::Done { turn, by: "ops".to_owned() });
+                }
+            }
+        }
+    }
+
+    fn next(&self, world: &World, act: Act) -> World {
+        self.run(world, act).0
+    }
+}
+
+fn machine(broken: Broken, node: usize, world: &mut World, first: bool) -> Machine {
+    world.lives += 1;
+    let voters = Voters::new((0..NODES).map(name).collect(), Vec::new()).expect("voters");
+    let mut config = Config { lease: LEASE, longest_call: 2 * STEP, back_most: STEP, ..Config::default() };
+    config.drain_most = 100 * LEASE;
+    config.alone_after = Micros::MAX;
+    if broken == Broken::Limits {
+        config.limits.all = 2;
+        (config.limits.zone, config.limits.pod) = (2, 2);
+    }
+    let me = Process { name: name(node), life: 100 * world.lives + node as u64, at: at(node) };
+    let time = now(world.step);
+    let begun = if broken == Broken::Silence && !first { time - 3 * LEASE } else { time };
+    Machine::new(config, voters, me, begun)
+}
+
+impl Model for Fleet {
+    type State = World;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<World> {
+        vec![self.first.clone()]
+    }
+
+    fn actions(&self, world: &World, acts: &mut Vec<Act>) {
+        if world.wrong.is_some() || world.step >= self.first.step + ENDS {
+            return;
+        }
+        acts.push(Act::Nothing);
+        if world.step >= self.first.step + FAULTY + 2 * LASTS {
+            return;
+        }
+        if world.kept.is_some() {
+            acts.push(Act::Again);
+        }
+        if world.faults >= self.faults || world.step >= self.first.step + FAULTY {
+            return;
+        }
+        let places = self.run(world, Act::Nothing).1;
+        let places = if self.fine { 0..places } else { 0..places.min(1) };
+        let free = world.lasting.is_none();
+        for place in places {
+            if self.fine {
+                acts.push(Act::Lose(place));
+                if world.kept.is_none() {
+                    acts.push(Act::Keep(place));
+                }
+            }
+            for node in 0..NODES {
+                acts.push(Act::Crash(node, place));
+                if free {
+                    let kinds = [Lasting::Frozen, Lasting::Apart, Lasting::Deaf, Lasting::Mute];
+                    acts.extend(kinds.map(|kind| Act::Begin(node, kind, place)));
+                }
+            }
+        }
+    }
+
+    fn next_state(&self, world: &World, act: Act) -> Option<World> {
+        Some(self.next(world, act))
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("nothing is wrong", |_, world: &World| world.wrong.is_none()),
+            Property::always(
+                "both hosts had their turn once faults ended",
+                |fleet: &Fleet, world: &World| world.step < fleet.first.step + ENDS || world.back.len() == 2,
+            ),
+        ]
+    }
+}
+
+fn check(broken: Broken, faults: u8, fine: bool) -> (u64, Vec<&'static str>) {
+    check_from(Fleet::new(broken, faults, fine))
+}
+
+fn check_from(fleet: Fleet) -> (u64, Vec<&'static str>) {
+    let broken = fleet.broken;
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let checker = fleet.checker().threads(threads).spawn_bfs().join();
+    for (name, path) in checker.discoveries() {
+        if broken == Broken::Nothing {
+            let acts: Vec<Act> = path.clone().into_actions();
+            let last = path.last_state().clone();
+            let acts: Vec<(usize, &Act)> =
+                acts.iter().enumerate().filter(|(_, a)| **a != Act::Nothing).collect();
+            println!("{name}: {acts:?}\n{:?}, {:?}", last.wrong, last.free);
+            for node in &last.nodes {
+                println!("{:?}", node.view(now(last.step)));
+            }
+        }
+    }
+    (checker.unique_state_count() as u64, checker.discoveries().into_keys().collect())
+}
+
+#[test]
+fn one_fault_between_any_two_messages_breaks_nothing_and_both_hosts_get_their_turn() {
+    let (states, found) = check(Broken::Nothing, 1, true);
+    println!("{states} states");
+    assert!(found.is_empty() && states > 10_000, "{states} {found:?}");
+}
+
+#[test]
+fn two_faults_between_any_two_steps_break_nothing_and_both_hosts_get_their_turn() {
+    let (states, found) = check(Broken::Nothing, 2, false);
+    println!("{states} states");
+    assert!(found.is_empty() && states > 10_000, "{states} {found:?}");
+}
+
+#[test]
+fn a_rule_that_is_taken_out_is_missed() {
+    let rules = [
+        (Broken::AllConfirm, 1, false),
+        (Broken::PermissionEnds, 1, true),
+        (Broken::AsksFirst, 1, false),
+        (Broken::Drains, 0, false),
+        (Broken::LeaseEnds, 1, false),
+        (Broken::Limits, 0, false),
+        (Broken::Newest, 1, true),
+    ];
+    let mut missed = Vec::new();
+    for (broken, faults, fine) in rules {
+        let (states, found) = check(broken, faults, fine);
+        println!("{broken:?}: {states} states, {found:?}");
+        missed.extend((!found.contains(&"nothing is wrong")).then_some(broken));
+    }
+    assert_eq!(missed, []);
+}
+
+/// A voter that hears nobody for longer than its lease lasts, and one that forgets meanwhile: then one more fault.
+fn after_two_faults(broken: Broken) -> (u64, Vec<&'static str>) {
+    let mut fleet = Fleet::new(broken, 3, true);
+    let holder =
+        (0..NODES).find(|n| fleet.first.nodes[*n].holds(now(fleet.first.step)).is_some()).expect("a holder");
+    let others: Vec<usize> = (0..NODES).filter(|node| *node != holder).collect();
+    let mut world = fleet.next(&fleet.first, Act::Begin(others[0], Lasting::Deaf, 0));
+    while world.lasting.is_some_and(|(_, _, left)| left > 2) {
+        world = fleet.next(&world, Act::Nothing);
+    }
+    fleet.first = fleet.next(&world, Act::Crash(others[1], 0));
+    check_from(fleet)
+}
+
+#[test]
+fn a_voter_that_forgot_its_promise_is_silent_until_it_has_run_out() {
+    let (states, found) = after_two_faults(Broken::Nothing);
+    println!("{states} states");
+    assert!(found.is_empty() && states > 10_000, "{states} {found:?}");
+    let (states, found) = after_two_faults(Broken::Silence);
+    assert!(found.contains(&"nothing is wrong"), "{states} states");
+}
