Count what a thin proxy waited for in vain in what an answer usually takes

A call is refused at once where less time is left than is usual, but a time-out counted only where the same server had served another call since. A thin proxy meets a server every few seconds, so its mean was that of the answers in time.

--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -609,6 +609,33 @@
     }
 }
 
+/// A thin balancer meets a server so seldom that nothing was served there since: what it waited for in vain counts all
+/// the same, else only those answers make up what is usual that came in time.
+#[test]
+fn what_was_waited_for_in_vain_at_a_server_that_is_seldom_met_makes_up_what_is_usual() {
+    let mut proxy = Proxy::new(Settings { balancers: 300, ..settings(Repeat::SingleShot) }, 5);
+    for _ in 0..20 {
+        proxy.serve(40 * MS);
+    }
+    let ask = |proxy: &mut Proxy, call, time_left| {
+        let (call, class) = (CallId(call), ClassId(0));
+        (call, proxy.event(Event::Request { call, class, tenant: None, time_left, resent: true }))
+    };
+    // Each is sent and gets no answer; less time than the usual proves nothing.
+    for call in 1_000..1_080 {
+        let (call, actions) = ask(&mut proxy, call, 120 * MS);
+        let spent = if call.0 % 2 == 0 { 120 * MS } else { MS };
+        if !sent(&actions).is_empty() {
+            proxy.now += spent;
+            proxy.end(call, 0, Outcome::TimedOut, spent);
+            proxy.event(Event::Gone { call });
+        }
+        proxy.wait(200 * MS);
+    }
+    let (late, actions) = ask(&mut proxy, 2_000, 60 * MS);
+    assert!(refused(&actions, late), "no such call was answered in time: {actions:?}");
+}
+
 /// What is usual is a guess at first, and old news where nothing was answered for long: were short calls refused for
 /// it, an application that has no others would never be served.
 #[test]
