--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -700,8 +700,8 @@
             server.slowness += (slowness - server.slowness) * weight;
             server.answers_since += 1;
         }
-        // Answers alone would make the mean that of the lucky: what was waited in vain, wherever, counts where
-        // it is more; less proves nothing.
+        // Answers alone would make the mean that of the lucky: what was waited in vain, wherever, counts
+        // where it is more; less proves nothing.
         let told = if outcome == Outcome::TimedOut { elapsed as f64 > mean } else { !failed };
         pace.filter(|_| told).into_iter().for_each(|p| p.answered(now, elapsed as f64));
         if outcome == Outcome::Served {
