Take hosts out for work in an order that the proxies settle, by flaxhead work and an experiment

Need: the turns were a state machine that nothing drove.

[work] of the operators' file (off in service; without it one check) starts the driver, which rides on the peers' sockets. The engine leaves named hosts alone, each from a moment on that is looked at again where a request is about to be written, so that a proxy that was stopped meanwhile writes nothing. A restarted proxy asks discovery only once it is let in.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,6 +3,7 @@
 
 use crate::call::{ended, Ask, Attempt, Call, Final, Reply, Retries, Trace};
 use crate::clock::Clock;
+use crate::leave::Leave;
 use crate::list::{switches, Health, Healths, Host, List};
 use crate::observe::{Note, Observer, View};
 use crate::source::Source;
@@ -45,12 +46,21 @@
     pub dial: SocketAddr,
     pub born_ms: u64,
     pub health: Health,
+    /// The list's entry, and whether the module was told that it takes calls.
+    pub entry: Entry,
+    told_ready: bool,
+    leave: Leave,
 }
 
 impl Seat {
     /// Whether something new may be written to it at this address.
     fn takes(&self, address: SocketAddr) -> bool {
-        self.health == Health::Ready && self.dial == address
+        self.is_open() && self.dial == address
+    }
+
+    /// Whether it takes calls, by the list and by what is to be left alone.
+    fn is_open(&self) -> bool {
+        self.health == Health::Ready && !self.leave.is_over()
     }
 }
 
@@ -71,6 +81,8 @@
     next_call: u64,
     hosts: HashMap<ServerId, Seat>,
     names: HashMap<String, ServerId>,
+    /// Hosts that are left alone, each from a moment on, whatever the list says.
+    spared: HashMap<String, Instant>,
     seq: Option<u64>,
     listed: bool,
     source: Rc<dyn Source>,
@@ -142,6 +154,7 @@
             next_call: 0,
             hosts: HashMap::new(),
             names: HashMap::new(),
+            spared: HashMap::new(),
             // Set before the start: the module subscribes at once, from the version of the list it gets next.
             seq: known.as_ref().map(|known| known.seq),
             listed: false,
@@ -278,7 +291,8 @@
             let (zone, cell) = (flaxhead_settings::zone(&entry.site), CellId(entry.block));
             let started = entry.born_ms.saturating_mul(1_000);
             let model = flaxhead_settings::model(&entry.class);
-            entries.push(Entry { server, state, zone, model, cell, started, weight: entry.share });
+            let told = Entry { server, state, zone, model, cell, started, weight: entry.share };
+            entries.push(inner.seat(&entry.host, told));
         }
         if !inner.observers.is_empty() {
             let servers: Vec<ServerId> = entries.iter().map(|entry| entry.server).collect();
@@ -287,12 +301,13 @@
         // The module hears of the list before it hears of what the list undoes.
         inner.events.push_back(Event::Members { kind, entries });
         inner.withdraw();
-        let Inner { names, hosts, transport, .. } = &mut *inner;
+        let Inner { names, hosts, transport, spared, .. } = &mut *inner;
         for (&server, _) in hosts.iter().filter(|(_, host)| host.health == Health::Gone) {
             transport.forget(server);
         }
         hosts.retain(|_, host| host.health != Health::Gone);
-        names.retain(|_, server| hosts.contains_key(server));
+        // What still runs at a host that is left alone is counted by its name.
+        names.retain(|name, server| hosts.contains_key(server) || spared.contains_key(name));
         if let Some(before) = before {
             for (host, server, health) in switches(&before, &inner.healths()) {
                 inner.note(|| Note::Switched { host: &host, server, health });
@@ -302,6 +317,52 @@
         self.run([]);
     }
 
+    /// From now on leaves these hosts alone, each from its moment on, and no others: nothing new goes there, and what
+    /// runs there ends by itself. The list still binds above it.
+    pub fn spare(&self, hosts: impl IntoIterator<Item = (String, Instant)>) {
+        let mut inner = self.0.borrow_mut();
+        inner.spared = hosts.into_iter().collect();
+        let Inner { names, hosts, spared, .. } = &mut *inner;
+        for (name, server) in names.iter() {
+            if let Some(seat) = hosts.get(server) {
+                seat.leave.set(spared.get(name).copied());
+            }
+        }
+        // A moment that comes later is a change of its own.
+        let now = Instant::now();
+        let next = spared.values().filter(|from| **from > now).min().copied();
+        drop(inner);
+        self.reseat();
+        if let Some(next) = next {
+            let engine = self.clone();
+            spawn_local(async move {
+                sleep_until(next).await;
+                engine.reseat();
+            });
+        }
+    }
+
+    /// Tells the module of hosts that take calls by now, or no longer, though the list is the same.
+    fn reseat(&self) {
+        let mut inner = self.0.borrow_mut();
+        let mut entries = Vec::new();
+        for seat in inner.hosts.values_mut().filter(|seat| seat.health == Health::Ready) {
+            let ready = seat.is_open();
+            if std::mem::replace(&mut seat.told_ready, ready) != ready {
+                let state = if ready { State::Ready } else { State::Draining };
+                entries.push(Entry { state, ..seat.entry });
+            }
+        }
+        if entries.is_empty() {
+            return;
+        }
+        entries.sort_by_key(|entry| entry.server);
+        inner.events.push_back(Event::Members { kind: ListKind::Delta, entries });
+        inner.withdraw();
+        drop(inner);
+        self.run([]);
+    }
+
     fn finish(&self, id: CallId, attempt: u32, end: End<T::Answer>) {
         let mut inner = self.0.borrow_mut();
         let Some(call) = inner.calls.get_mut(&id) else { return };
@@ -400,7 +461,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let attempt = call.attempts.len() as u32;
         let until = until.map_or(call.deadline, |at| self.clock.instant(at).min(call.deadline));
-        let host = self.hosts.get(&server).filter(|host| host.health == Health::Ready);
+        let host = self.hosts.get(&server).filter(|host| host.is_open());
         let Some(host) = host.filter(|_| call.waits() && now < until) else {
             call.attempts.push(None);
             let closed = !call.waits();
@@ -419,7 +480,7 @@
             self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, true));
             return self.answer(id, reply);
         }
-        let (meter, address) = (Meter::default(), host.dial);
+        let (meter, address) = (Meter::until(host.leave.clone()), host.dial);
         let target = Target { server, address, once: call.once, until };
         let sending = self.transport.send(target, &call.request, &meter);
         let task = {
@@ -506,21 +567,37 @@
             server
         });
         let Host { dial, born_ms, health, .. } = *entry;
-        let seat = self.hosts.entry(server).or_insert(Seat { dial, born_ms, health });
+        let (entry, told_ready, leave) = Default::default();
+        let seat =
+            self.hosts.entry(server).or_insert(Seat { dial, born_ms, health, entry, told_ready, leave });
         let restarted = (seat.dial, seat.born_ms) != (dial, born_ms);
-        *seat = Seat { dial, born_ms, health };
+        (seat.dial, seat.born_ms, seat.health) = (dial, born_ms, health);
         if restarted {
             self.transport.host(server, Some(dial), true);
         }
         server
     }
 
+    /// What the module is told of a host: what the list says, unless it is left alone.
+    fn seat(&mut self, name: &str, mut entry: Entry) -> Entry {
+        let Inner { hosts, spared, .. } = self;
+        if let Some(seat) = hosts.get_mut(&entry.server) {
+            seat.entry = entry;
+            seat.leave.set(spared.get(name).copied());
+            seat.told_ready = seat.is_open();
+            if entry.state == State::Ready && !seat.told_ready {
+                entry.state = State::Draining;
+            }
+        }
+        entry
+    }
+
     /// Takes back what is not yet written to hosts that are not ready, or no longer there, and closes what is
     /// idle: a send counts when it is written, not when it was decided.
     fn withdraw(&mut self) {
         let Inner { calls, hosts, events, transport, .. } = self;
         for (&server, host) in hosts.iter() {
-            transport.host(server, (host.health == Health::Ready).then_some(host.dial), false);
+            transport.host(server, host.is_open().then_some(host.dial), false);
         }
         for (&id, call) in calls {
             call.withdraw(id, events, |out| !hosts.get(&out.server).is_some_and(|h| h.takes(out.address)));
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod clock;
 mod engine;
+mod leave;
 mod list;
 mod observe;
 mod source;
--- a/engine/src/observe.rs
+++ b/engine/src/observe.rs
@@ -130,6 +130,19 @@
         })
     }
 
+    /// Attempts that are out, by the name of their host.
+    pub fn out_at(&self) -> BTreeMap<&'a str, u32> {
+        let mut out = BTreeMap::new();
+        let names: HashMap<ServerId, &'a str> =
+            self.names.iter().map(|(name, &server)| (server, name.as_str())).collect();
+        for attempt in self.calls.values().flat_map(|call| call.attempts.iter().flatten()) {
+            if let Some(name) = names.get(&attempt.server) {
+                *out.entry(*name).or_default() += 1;
+            }
+        }
+        out
+    }
+
     /// The calls in hand, by number.
     pub fn calls(&self) -> impl Iterator<Item = OpenCall<'a, T>> + use<'a, T> {
         self.calls.iter().map(|(&call, of)| OpenCall {
--- a/engine/src/transport.rs
+++ b/engine/src/transport.rs
@@ -1,5 +1,6 @@
 //! What carries attempts to hosts.
 
+use crate::leave::Leave;
 use flaxhead_policy::{Load, Outcome, ServerId};
 use std::cell::Cell;
 use std::fmt::Debug;
@@ -12,7 +13,7 @@
 /// it. Whoever writes counts up before a byte leaves for good, never after, and writes nothing once it is withdrawn:
 /// the task of an attempt that was called off may end only after others that write for it have had their turn.
 #[derive(Clone, Debug, Default)]
-pub struct Meter(Rc<Cell<Written>>);
+pub struct Meter(Rc<Cell<Written>>, Leave);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Written {
@@ -31,9 +32,15 @@
         self.0.set(Written { bytes, ..self.0.get() });
     }
 
-    /// Whether nothing more may be written.
+    /// For an attempt at a host that is left alone from a moment on.
+    pub(crate) fn until(leave: Leave) -> Meter {
+        Meter(Rc::default(), leave)
+    }
+
+    /// Whether nothing more may be written. What has begun goes on: a host is left alone by what is new.
     pub fn is_withdrawn(&self) -> bool {
-        self.0.get().withdrawn
+        let Written { bytes, withdrawn } = self.0.get();
+        withdrawn || bytes == 0 && self.1.is_over()
     }
 
     /// Takes the attempt back: nothing is written for it from now on.
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -3,6 +3,7 @@
 use crate::audit::Repeat;
 use crate::load::shape::Shape;
 use crate::model::node::Spec;
+use crate::turns::script::Work;
 use serde::Deserialize;
 use std::path::Path;
 use toml::Spanned;
@@ -58,6 +59,8 @@
     pub proxies: Proxies,
     /// Proxies that know of each other, with a relay between them; absent: they do not.
     pub peers: Option<Spanned<Peers>>,
+    /// Proxies that settle which host is taken out for work next; absent: they do not.
+    pub work: Option<Spanned<Work>>,
     /// What the clients do.
     #[serde(default)]
     pub clients: Clients,
@@ -468,6 +471,11 @@
             })?;
             ensure((1.0..=600.0).contains(&of.agree_within_s), at, || "agree_within_s: 1 to 600".into())?;
         }
+        if let Some(work) = &self.work {
+            let at = work.span().start;
+            ensure(self.peers.is_some(), at, || "work needs [peers]".into())?;
+            work.get_ref().check(proxies, nodes).map_err(|reason| (at, reason))?;
+        }
         ensure(!self.fleet.zones.is_empty() && self.fleet.pod > 0, start, || {
             "a fleet has zones and pods".into()
         })?;
--- a/lab/src/figures.rs
+++ b/lab/src/figures.rs
@@ -55,6 +55,9 @@
     /// What came of the peers, where proxies know of each other.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub peers: Option<crate::peers::judge::PeerFigures>,
+    /// What came of the turns, where hosts are taken out for work.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub turns: Option<crate::turns::judge::TurnFigures>,
     /// The verdict.
     pub verdict: Verdict,
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod report;
 pub mod run;
 pub mod stand_in;
+pub mod turns;
 
 use model::node::Micros;
 use std::time::{Duration, Instant, SystemTime};
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -92,6 +92,18 @@
             usage.cpu_s, usage.peak_mb
         ));
     }
+    lines.extend(figures.turns.iter().map(|turns| {
+        let free = turns.turns.iter().filter(|told| told.free.is_some()).count();
+        let (p50, p99) = turns.free_after_ms;
+        format!(
+            "turns: {free} of {} told free, after {p50:.0} ms (p50) and {p99:.0} ms (p99), {} out at once, {} requests sent \
+             after that, handed out under {}",
+            turns.turns.len(),
+            turns.out_at_once,
+            turns.sent_after_free,
+            turns.fences.join(", ")
+        )
+    }));
     lines.extend(figures.peers.iter().map(|peers| {
         let agreed = peers.agreed_after_s.map_or("never".to_owned(), |s| format!("{s:.1} s after the load"));
         let (mistaken, cut_off, looks) = (peers.mistaken.len(), &peers.cut_off, peers.looks);
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -12,6 +12,9 @@
 use crate::peers::relay::Relay;
 use crate::peers::rig::{agreed, own_file, shown, Shown};
 use crate::proxy::{configuration, free_address, Program, Proxy, Usage};
+use crate::turns::judge::TurnFigures;
+use crate::turns::operators::Operators;
+use crate::turns::script::Blow;
 use crate::Epoch;
 use hdrhistogram::serialization::interval_log::{IntervalLogWriterBuilder, Tag};
 use hdrhistogram::serialization::V2Serializer;
@@ -26,6 +29,8 @@
 
 /// Time for the fleet and the proxies to come up before the first request.
 const HEAD_START: Duration = Duration::from_millis(1_500);
+/// Where hosts are taken out for work, proxies that all start at once serve nothing for two or three leases.
+const HEAD_START_LEASES: u32 = 6;
 const HEAD_START_EACH: Duration = Duration::from_millis(100);
 /// What a time limit is longer by on sockets.
 const SLACK: Micros = 50_000;
@@ -90,6 +95,8 @@
 }
 
 type Shared = Arc<Mutex<Vec<Proxy>>>;
+/// A proxy that could not answer, from when and until when.
+type Outage = (usize, Micros, Micros);
 
 fn locked(proxies: &Shared) -> MutexGuard<'_, Vec<Proxy>> {
     proxies.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
@@ -106,10 +113,16 @@
     let path = folder.join("schedule.jsonl");
     let written = File::create(&path).and_then(|file| schedule.write(&mut BufWriter::new(file)));
     written.map_err(doing(path.display().to_string()))?;
-    let epoch = Epoch::after(HEAD_START + HEAD_START_EACH * experiment.proxies.count as u32);
+    let settle = experiment
+        .work
+        .as_ref()
+        .map_or(Duration::ZERO, |work| Duration::from_millis(work.get_ref().lease_ms) * HEAD_START_LEASES);
+    let epoch = Epoch::after(HEAD_START + settle + HEAD_START_EACH * experiment.proxies.count as u32);
     let fleet = Fleet::start(experiment, &schedule, epoch).map_err(doing("the fleet"))?;
     let proxies: Shared = Arc::default();
-    let peers = experiment.peers.as_ref().map(|_| Between::start(experiment.proxies.count, seed));
+    let work = experiment.work.as_ref().map(|work| work.get_ref());
+    let section = work.map(|work| work.section()).unwrap_or_default();
+    let peers = experiment.peers.as_ref().map(|_| Between::start(experiment.proxies.count, seed, section));
     let peers = peers.transpose().map_err(doing("the relay"))?.map(Arc::new);
     let targets = match options.proxies {
         Through::Own(make) => Targets::new(make(&fleet.discovery)),
@@ -131,9 +144,35 @@
         let (between, excused) = (between.clone(), of.get_ref().may_be_removed.clone());
         thread::spawn(move || between.look(&excused))
     });
+    let struck: Arc<Mutex<Vec<Outage>>> = Arc::default();
+    let finished = Arc::new(AtomicBool::new(false));
+    let operators = peers.as_ref().zip(work).map(|(between, work)| {
+        let (between, work, proxies, fleet) = (between.clone(), work.clone(), proxies.clone(), fleet.clone());
+        let (struck, finished, targets) = (struck.clone(), finished.clone(), targets.clone());
+        thread::spawn(move || {
+            let since = Mutex::new(std::collections::HashMap::new());
+            let strikes = |what: Blow, place: usize, on: bool| {
+                let hand = Hand { proxies: &proxies, fleet: &fleet, targets: &targets, epoch, seed };
+                let outage = hand.strike(&between, what, place, on, &since);
+                struck.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).extend(outage);
+            };
+            let count = locked(&proxies).len();
+            let sides = (0..count).map(|place| between.relay.side(place)).collect();
+            Operators::new(&work, sides, epoch, &finished, &strikes).play()
+        })
+    });
     let sent = sender::send(experiment, &schedule, &targets, epoch, live, options.mode);
     let Sent { tries, lateness } = sent.map_err(doing("the load"))?;
-    let outages = befalls.join().unwrap_or_default();
+    let mut outages = befalls.join().unwrap_or_default();
+    let told = operators.zip(work).map(|(operators, work)| {
+        let until = std::time::Instant::now() + Duration::from_secs_f64(work.finish_within_s);
+        while !operators.is_finished() && std::time::Instant::now() < until {
+            thread::sleep(Duration::from_millis(20));
+        }
+        finished.store(true, Ordering::SeqCst);
+        operators.join().unwrap_or_default()
+    });
+    outages.extend(struck.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).iter().copied());
     let peer_figures = peers.zip(experiment.peers.as_ref()).zip(looks).map(|((between, of), looks)| {
         let after = between.agree(Duration::from_secs_f64(of.get_ref().agree_within_s));
         between.ended.store(true, Ordering::SeqCst);
@@ -166,6 +205,11 @@
     if let Some((peers, of)) = peer_figures.zip(experiment.peers.as_ref()) {
         figures.judge_peers(peers, of.get_ref());
     }
+    if let Some(((told, fences), work)) = told.zip(work) {
+        let turns = TurnFigures::of(told, fences, &fleet);
+        figures.verdict.unheld.extend(turns.unheld(work));
+        figures.turns = Some(turns);
+    }
     write(folder, &figures, &tries).map_err(doing(folder.display().to_string()))?;
     Ok(Done { figures, tries, fleet, breaches })
 }
@@ -224,22 +268,24 @@
 /// What is between proxies that know of each other.
 struct Between {
     relay: Relay,
+    /// What the operators' file of each proxy holds beside its peers.
+    section: String,
     running: Mutex<Vec<bool>>,
     judge: Mutex<Judge>,
     ended: AtomicBool,
 }
 
 impl Between {
-    fn start(count: usize, seed: u64) -> io::Result<Between> {
+    fn start(count: usize, seed: u64, section: String) -> io::Result<Between> {
         let relay = Relay::start(count, seed)?;
         let (running, judge, ended) =
             (Mutex::new(vec![true; count]), Mutex::default(), AtomicBool::new(false));
-        Ok(Between { relay, running, judge, ended })
+        Ok(Between { relay, section, running, judge, ended })
     }
 
     fn own_file(&self, number: usize, folder: &Path) -> io::Result<PathBuf> {
         let path = folder.join(format!("n{number}.toml"));
-        fs::write(&path, own_file(&self.relay, number, &[0, 1]))?;
+        fs::write(&path, own_file(&self.relay, number, &[0, 1]) + &self.section)?;
         Ok(path)
     }
 
@@ -334,6 +380,71 @@
     }
 }
 
+/// What a strike has in hand.
+struct Hand<'a> {
+    proxies: &'a Shared,
+    fleet: &'a Fleet,
+    targets: &'a Targets,
+    epoch: Epoch,
+    seed: u64,
+}
+
+impl Hand<'_> {
+    /// Brings a strike about, or takes it back; then the span in which the proxy could not answer.
+    fn strike(
+        &self,
+        between: &Between,
+        what: Blow,
+        place: usize,
+        on: bool,
+        since: &Mutex<std::collections::HashMap<usize, Micros>>,
+    ) -> Option<Outage> {
+        let count = locked(self.proxies).len();
+        let cut = |says: bool, hears: bool| {
+            for other in (0..count).filter(|&other| other != place) {
+                if says {
+                    between.relay.set(place, other, |link| link.cut = on);
+                }
+                if hears {
+                    between.relay.set(other, place, |link| link.cut = on);
+                }
+            }
+        };
+        match what {
+            Blow::Apart => cut(true, true),
+            Blow::Mute => cut(true, false),
+            Blow::Deaf => cut(false, true),
+            Blow::Kill | Blow::Freeze => {}
+        }
+        let mut all = locked(self.proxies);
+        let proxy = all.get_mut(place).filter(|_| matches!(what, Blow::Kill | Blow::Freeze))?;
+        let now = self.epoch.now();
+        let done = match (what, on) {
+            (Blow::Freeze, _) => proxy.freeze(on),
+            (_, true) => {
+                self.targets.killed[place].fetch_add(1, Ordering::SeqCst);
+                proxy.kill();
+                between.killed(place);
+                Ok(())
+            }
+            (_, false) => {
+                let list = self.fleet.list(place).unwrap_or_default();
+                between.started(place).and_then(|()| proxy.restart(self.seed ^ now, &list))
+            }
+        };
+        if let Err(error) = done {
+            // The audit finds what follows from it.
+            eprintln!("flaxhead-lab: proxy {place}: {error}");
+        }
+        let mut since = since.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if on {
+            since.insert(place, now.saturating_sub(OUTAGE_EDGE));
+            return None;
+        }
+        since.remove(&place).map(|from| (place, from, self.epoch.now() + OUTAGE_EDGE))
+    }
+}
+
 /// What befalls the proxies, each at its time; tells when each of them could not answer.
 fn befall(
     troubles: &[Trouble],
--- a/peers/src/codec.rs
+++ b/peers/src/codec.rs
@@ -1,10 +1,12 @@
 //! The form of packets on the wire: a mark, the form's version, the cluster's name, the packet, a checksum of all that.
 
-use flaxhead_membership::Packet;
+use flaxhead_membership::{Name, Packet};
 use serde::{Deserialize, Serialize};
 
 /// The first bytes of everything.
 const MARK: [u8; 2] = *b"fx";
+/// The same of what a rider says.
+const RIDER: [u8; 2] = *b"fr";
 /// This form.
 pub const VERSION: u8 = 1;
 /// Longest datagram: it passes any network without being cut in two.
@@ -42,20 +44,43 @@
 
 /// A packet as bytes.
 pub fn encode(cluster: &str, packet: &Packet) -> Result<Vec<u8>, Bad> {
+    put(MARK, cluster, packet)
+}
+
+/// What a rider says in the name of a member, as bytes.
+pub fn encode_ridden(cluster: &str, from: &Name, body: &[u8]) -> Result<Vec<u8>, Bad> {
+    put(RIDER, cluster, &(from, body))
+}
+
+/// Whether these bytes are a rider's.
+pub fn is_ridden(bytes: &[u8]) -> bool {
+    bytes.starts_with(&RIDER)
+}
+
+fn put(mark: [u8; 2], cluster: &str, what: &impl Serialize) -> Result<Vec<u8>, Bad> {
     let mut bytes = Vec::with_capacity(256);
-    bytes.extend_from_slice(&MARK);
+    bytes.extend_from_slice(&mark);
     bytes.push(VERSION);
     bytes.push(u8::try_from(cluster.len()).map_err(|_| Bad::Huge)?);
     bytes.extend_from_slice(cluster.as_bytes());
-    let mut bytes = postcard::to_extend(packet, bytes).map_err(|_| Bad::Malformed)?;
+    let mut bytes = postcard::to_extend(what, bytes).map_err(|_| Bad::Malformed)?;
     bytes.extend_from_slice(&crc32fast::hash(&bytes).to_be_bytes());
     Ok(bytes)
 }
 
 /// Bytes as a packet.
 pub fn decode(cluster: &str, bytes: &[u8]) -> Result<Packet, Bad> {
-    let (mark, rest) = bytes.split_at_checked(MARK.len()).ok_or(Bad::Cut)?;
-    if mark != MARK {
+    take(MARK, cluster, bytes)
+}
+
+/// Bytes as what a rider says, and in whose name.
+pub fn decode_ridden<'a>(cluster: &str, bytes: &'a [u8]) -> Result<(Name, &'a [u8]), Bad> {
+    take(RIDER, cluster, bytes)
+}
+
+fn take<'a, T: Deserialize<'a>>(wanted: [u8; 2], cluster: &str, bytes: &'a [u8]) -> Result<T, Bad> {
+    let (mark, rest) = bytes.split_at_checked(wanted.len()).ok_or(Bad::Cut)?;
+    if mark != wanted {
         return Err(Bad::Foreign);
     }
     let (&version, rest) = rest.split_first().ok_or(Bad::Cut)?;
--- a/peers/src/driver.rs
+++ b/peers/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::Settings;
 use flaxhead_membership::{Change, Effect, Kind, Machine, Micros, Name, Packet, Verdict, View};
 use serde::{Deserialize, Serialize};
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
@@ -41,6 +41,9 @@
     pub bad: BTreeMap<Bad, u64>,
     /// From addresses that are not let in.
     pub not_let_in: u64,
+    /// In the name of one that is no member, or is elsewhere.
+    #[serde(default)]
+    pub strangers: u64,
     /// Past the rate, or sent while the socket was full.
     pub dropped: u64,
 }
@@ -57,6 +60,12 @@
     pub wire: Counts,
 }
 
+/// What else travels between members, on their sockets: a service of its own that is told who speaks and what.
+pub trait Rider {
+    /// Bytes came from a member. It must not wait.
+    fn receive(&self, from: &Name, bytes: &[u8]);
+}
+
 struct Inner {
     settings: Settings,
     machine: RefCell<Machine>,
@@ -68,6 +77,7 @@
     /// Something came beside the main loop: it looks again when it is next wanted.
     stirred: Notify,
     asking: Semaphore,
+    rider: OnceCell<Rc<dyn Rider>>,
 }
 
 /// One process's peers, shared by the tasks of one thread.
@@ -108,6 +118,7 @@
             start,
             stirred,
             asking,
+            rider: OnceCell::new(),
         })))
     }
 
@@ -116,6 +127,62 @@
         tokio::join!(self.datagrams(), self.connections());
     }
 
+    /// Has a service ride along; one at the most.
+    pub fn carry(&self, rider: Rc<dyn Rider>) {
+        // A second one would be a slip of this program's own, and changes nothing.
+        let _ = self.0.rider.set(rider);
+    }
+
+    /// Looks at the machine.
+    pub fn look<R>(&self, look: impl FnOnce(&Machine, Micros) -> R) -> R {
+        look(&self.0.machine.borrow(), self.now())
+    }
+
+    /// Sends what a rider says to a member, as a datagram where it fits into one. What is lost is the rider's matter.
+    pub fn post(&self, to: &Name, body: &[u8]) {
+        let (at, bytes) = {
+            let machine = self.0.machine.borrow();
+            let at = machine.table().get(to).map(|member| member.card.at);
+            (at, codec::encode_ridden(&self.0.settings.cluster, &machine.table().me().name, body))
+        };
+        let (Some(at), Ok(bytes)) = (at, bytes) else { return };
+        if bytes.len() <= DATAGRAM_MOST {
+            if self.0.socket.try_send_to(&bytes, at).is_err() {
+                self.0.counts.borrow_mut().dropped += 1;
+            }
+            return;
+        }
+        let peers = self.clone();
+        spawn_local(async move {
+            let Ok(_place) = peers.0.asking.try_acquire() else { return };
+            let sending = async {
+                let mut stream = peers.connect(at).await?;
+                write_frame(&mut stream, &bytes).await?;
+                // It is read before the other side closes.
+                stream.read_u8().await
+            };
+            // The rider sends again what it has no answer to.
+            let _ = timeout(EXCHANGE_WAIT, sending).await;
+        });
+    }
+
+    /// What a rider of the other side said.
+    fn ridden(&self, source: SocketAddr, bytes: &[u8], most: usize) {
+        let Some(rider) = self.0.rider.get() else { return self.count(Bad::Foreign) };
+        if bytes.len() > most {
+            return self.count(Bad::Huge);
+        }
+        let (from, body) = match codec::decode_ridden(&self.0.settings.cluster, bytes) {
+            Ok(said) => said,
+            Err(bad) => return self.count(bad),
+        };
+        let at = self.0.machine.borrow().table().get(&from).map(|member| member.card.at.ip());
+        match at {
+            Some(at) if at == source.ip() => rider.receive(&from, body),
+            _ => self.0.counts.borrow_mut().strangers += 1,
+        }
+    }
+
     /// What is shown.
     pub fn shown(&self) -> Shown {
         let machine = self.0.machine.borrow();
@@ -173,6 +240,9 @@
             self.0.counts.borrow_mut().not_let_in += 1;
             return;
         }
+        if codec::is_ridden(bytes) {
+            return self.ridden(source, bytes, DATAGRAM_MOST);
+        }
         match self.decode(bytes, DATAGRAM_MOST) {
             Ok(packet) => self.step(|machine, now, out| machine.receive(now, source, packet, out)),
             Err(bad) => self.count(bad),
@@ -281,14 +351,22 @@
 
     async fn write(&self, stream: &mut TcpStream, packet: &Packet) -> io::Result<()> {
         let bytes = codec::encode(&self.0.settings.cluster, packet).map_err(io::Error::other)?;
-        if bytes.len() > FRAME_MOST {
-            return Err(io::Error::other(Bad::Huge));
-        }
-        stream.write_u32(bytes.len() as u32).await?;
-        stream.write_all(&bytes).await
+        write_frame(stream, &bytes).await
     }
 
     async fn read(&self, stream: &mut TcpStream) -> io::Result<Packet> {
+        let bytes = self.read_frame(stream).await?;
+        self.decoded(&bytes)
+    }
+
+    fn decoded(&self, bytes: &[u8]) -> io::Result<Packet> {
+        self.decode(bytes, FRAME_MOST).map_err(|bad| {
+            self.count(bad);
+            io::Error::other(bad)
+        })
+    }
+
+    async fn read_frame(&self, stream: &mut TcpStream) -> io::Result<Vec<u8>> {
         let length = stream.read_u32().await? as usize;
         if length > FRAME_MOST {
             self.count(Bad::Huge);
@@ -297,10 +375,7 @@
         // Read as it comes: a length alone takes no memory.
         let mut bytes = Vec::new();
         stream.take(length as u64).read_to_end(&mut bytes).await?;
-        self.decode(&bytes, FRAME_MOST).map_err(|bad| {
-            self.count(bad);
-            io::Error::other(bad)
-        })
+        Ok(bytes)
     }
 
     async fn connections(&self) {
@@ -329,7 +404,12 @@
     }
 
     async fn answer(&self, mut stream: TcpStream, source: SocketAddr) -> io::Result<()> {
-        let packet = self.read(&mut stream).await?;
+        let bytes = self.read_frame(&mut stream).await?;
+        if codec::is_ridden(&bytes) {
+            self.ridden(source, &bytes, FRAME_MOST);
+            return stream.write_u8(0).await;
+        }
+        let packet = self.decoded(&bytes)?;
         let answer = match packet.kind {
             Kind::Ping { seq, .. } => {
                 let answer = self.0.machine.borrow().bare(Kind::Ack { seq });
@@ -348,6 +428,14 @@
     }
 }
 
+async fn write_frame(stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    if bytes.len() > FRAME_MOST {
+        return Err(io::Error::other(Bad::Huge));
+    }
+    stream.write_u32(bytes.len() as u32).await?;
+    stream.write_all(bytes).await
+}
+
 fn tcp_socket(at: &SocketAddr) -> io::Result<TcpSocket> {
     if at.is_ipv4() {
         TcpSocket::new_v4()
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -9,5 +9,5 @@
 mod lines;
 mod settings;
 
-pub use driver::{Peers, Shown};
+pub use driver::{Peers, Rider, Shown};
 pub use settings::Settings;
--- a/proxy/src/features/mod.rs
+++ b/proxy/src/features/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod sections;
 pub mod status;
+pub mod work;
 
 use crate::output;
 use flaxhead_policy::Access;
@@ -26,6 +27,8 @@
     pub access: Option<Access>,
     /// The membership among client proxies.
     pub peers: Option<flaxhead_peers::Settings>,
+    /// Hosts taken out for work.
+    pub work: Option<flaxhead_work::Settings>,
     /// The log's form.
     pub log: Option<output::Form>,
 }
@@ -52,6 +55,7 @@
 
     fn of(sections: Vec<Section>) -> Result<Features, Problem> {
         let mut features = Features::default();
+        let mut work_at = 0;
         for mut section in sections {
             match section.name.as_str() {
                 "status" => features.status = Some(status::Settings::read(&mut section)?),
@@ -59,11 +63,18 @@
                 "capture" => features.capture = Some(capture::Settings::read(&mut section)?),
                 "access" => features.access = Some(access::read(&mut section)?),
                 "peers" => features.peers = Some(peers::read(&mut section)?),
+                "work" => {
+                    work_at = section.line;
+                    features.work = Some(work::read(&mut section)?);
+                }
                 "log" => features.log = Some(section.take("format")?.unwrap_or_default()),
                 name => return Err(Problem::new(section.line, format!("unknown section [{name}]"))),
             }
             section.finish()?;
         }
+        if features.work.is_some() && features.peers.is_none() {
+            return Err(Problem::new(work_at, "[work] needs [peers]"));
+        }
         Ok(features)
     }
 }
--- a/proxy/src/features/peers.rs
+++ b/proxy/src/features/peers.rs
@@ -35,7 +35,7 @@
     Ok(Settings { listen, advertise, contacts, cluster, networks, pace: Config::default() })
 }
 
-fn list<T: std::str::FromStr<Err: std::fmt::Display>>(
+pub(super) fn list<T: std::str::FromStr<Err: std::fmt::Display>>(
     section: &mut Section,
     key: &str,
 ) -> Result<Vec<T>, Problem> {
--- a/proxy/src/features/status.rs
+++ b/proxy/src/features/status.rs
@@ -3,11 +3,14 @@
 
 use super::sections::{Problem, Section};
 use crate::http::{Engine, Http};
+use crate::work::PATIENCE;
+use flaxhead_accord::Order;
 use flaxhead_engine::{Health, Note, Observer, View};
 use flaxhead_peers::Peers;
 use flaxhead_policy::{ClassId, Outcome, ServerId};
+use flaxhead_work::Work;
 use html_escape::encode_safe;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
@@ -33,6 +36,8 @@
 const READER_TIME: Duration = Duration::from_secs(5);
 /// Pause after a failure to accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Longest order that is read, in bytes.
+const ORDER_MOST: usize = 4_096;
 /// Errors that are kept of a host.
 const ERRORS: usize = 3;
 
@@ -224,7 +229,14 @@
     }
 
     /// Serves the page until it is dropped.
-    pub async fn serve(self, engine: Engine, board: Shared, classes: Vec<String>, peers: Option<Peers>) {
+    pub async fn serve(
+        self,
+        engine: Engine,
+        board: Shared,
+        classes: Vec<String>,
+        peers: Option<Peers>,
+        work: Option<Work>,
+    ) {
         let latest = Rc::new(RefCell::new(Rendered::default()));
         let refresh = async {
             let mut before: Vec<u64> = Vec::new();
@@ -239,12 +251,19 @@
                 sleep(self.refresh).await;
             }
         };
-        tokio::join!(refresh, accept(&self.listener, &latest, &peers));
+        tokio::join!(refresh, accept(&self.listener, &latest, &peers, &work));
     }
 }
 
-async fn accept(listener: &TcpListener, latest: &Rc<RefCell<Rendered>>, peers: &Option<Peers>) {
+async fn accept(
+    listener: &TcpListener,
+    latest: &Rc<RefCell<Rendered>>,
+    peers: &Option<Peers>,
+    work: &Option<Work>,
+) {
     let places = Arc::new(Semaphore::new(READERS));
+    // An order is answered once it is on record.
+    let most = READER_TIME + work.as_ref().map_or(Duration::ZERO, |_| PATIENCE);
     while let Ok(place) = places.clone().acquire_owned().await {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -254,10 +273,16 @@
                 continue;
             }
         };
-        let (latest, peers) = (latest.clone(), peers.clone());
-        let service = service_fn(move |request| {
-            let answer = answer(&request, &latest.borrow(), peers.as_ref());
-            async move { Ok::<_, Infallible>(answer) }
+        let (latest, peers, work) = (latest.clone(), peers.clone(), work.clone());
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (latest, peers, work) = (latest.clone(), peers.clone(), work.clone());
+            async move {
+                let answer = match work.filter(|_| request.uri().path() == "/work.json") {
+                    Some(work) => turns(request, &work).await,
+                    None => answer(&request, &latest.borrow(), peers.as_ref()),
+                };
+                Ok::<_, Infallible>(answer)
+            }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
@@ -265,7 +290,7 @@
             .serve_connection(TokioIo::new(stream), service);
         spawn_local(async move {
             // A reader that goes, or is too slow, is nobody's loss.
-            let _ = timeout(READER_TIME, connection).await;
+            let _ = timeout(most, connection).await;
             drop(place);
         });
     }
@@ -287,6 +312,35 @@
         answer.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET"));
         return answer;
     }
+    shown(body, kind)
+}
+
+/// Shows the turns, or takes an order on them.
+async fn turns(request: Request<Incoming>, work: &Work) -> Response<Full<Bytes>> {
+    let body = match *request.method() {
+        Method::GET => serde_json::to_vec(&work.shown()),
+        Method::POST => {
+            let whole = timeout(READER_TIME, Limited::new(request.into_body(), ORDER_MOST).collect()).await;
+            let Ok(Ok(whole)) = whole else { return plain(StatusCode::PAYLOAD_TOO_LARGE) };
+            match serde_json::from_slice::<Order>(&whole.to_bytes()) {
+                Ok(order) => serde_json::to_vec(&work.order(order, PATIENCE).await),
+                Err(error) => {
+                    let mut answer = Response::new(Full::from(error.to_string()));
+                    *answer.status_mut() = StatusCode::BAD_REQUEST;
+                    return answer;
+                }
+            }
+        }
+        _ => {
+            let mut answer = plain(StatusCode::METHOD_NOT_ALLOWED);
+            answer.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
+            return answer;
+        }
+    };
+    shown(body.unwrap_or_default().into(), "application/json")
+}
+
+fn shown(body: Bytes, kind: &'static str) -> Response<Full<Bytes>> {
     let mut answer = Response::new(Full::new(body));
     answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(kind));
     answer.headers_mut().insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -10,10 +10,12 @@
 pub mod output;
 pub mod program;
 pub mod side;
+pub mod work;
 
 use config::Config;
+use features::work::{Fleet, Gated};
 use flaxhead_discovery::Discovery;
-use flaxhead_engine::{spawn, Engine, Setup};
+use flaxhead_engine::{spawn, Engine, Setup, Source};
 use http::front::{self, Driver};
 use http::Http;
 use side::Side;
@@ -38,22 +40,36 @@
     stop: impl Future<Output = ()>,
 ) {
     let Config { seed, connect_timeout, conn_idle, .. } = config;
-    let setup = Setup { seed, settings: config.settings.clone(), known: config.known.clone() };
+    let mut known = config.known.clone();
     let transport = Http::new(config.connections_each_way(), connect_timeout, conn_idle);
-    let source = Rc::new(Discovery(config.discovery));
+    // Where hosts are taken out for work, a proxy sends to none before it knows which are to be left alone.
+    let open = side.work.as_ref().map(|(work, _)| work.open());
+    let source: Rc<dyn Source> = match &open {
+        Some(open) => Rc::new(Gated::new(Discovery(config.discovery), open.clone(), known.take())),
+        None => Rc::new(Discovery(config.discovery)),
+    };
+    let setup = Setup { seed, settings: config.settings.clone(), known };
     let engine = Engine::start(setup, transport, source, side.observers(), None);
     let (trail, ring, board) = (side.trail, side.recorder, side.board);
     let _dumps = side.dumps.zip(ring).map(|(dumps, ring)| spawn(dumps.serve(ring)));
     let classes = config.classes.clone();
+    let work = side.work.as_ref().map(|(work, _)| work.clone());
+    let _work = side.work.map(|(work, known)| {
+        let fleet = Rc::new(Fleet::new(engine.clone(), known, trail.clone()));
+        spawn(async move { work.serve(fleet).await })
+    });
     let _status =
-        side.status.map(|page| spawn(page.serve(engine.clone(), board, classes, side.peers.clone())));
+        side.status.map(|page| spawn(page.serve(engine.clone(), board, classes, side.peers.clone(), work)));
     let _peers = side.peers.clone().map(|peers| spawn(async move { peers.serve().await }));
     let moving = engine.clone();
     let _moving = spawn(async move {
         while discovery.changed().await.is_ok() {
             let address = *discovery.borrow_and_update();
             tracing::info!("discovery is at {address}");
-            moving.watch_at(Rc::new(Discovery(address)));
+            moving.watch_at(match &open {
+                Some(open) => Rc::new(Gated::new(Discovery(address), open.clone(), None)),
+                None => Rc::new(Discovery(address)),
+            });
         }
     });
     let driver = Driver { engine: engine.clone(), config: Rc::new(config) };
--- a/proxy/src/program.rs
+++ b/proxy/src/program.rs
@@ -9,6 +9,7 @@
 use crate::members;
 use crate::output;
 use crate::side::Side;
+use crate::work;
 use clap::{Args, Parser, Subcommand};
 use std::ffi::OsString;
 use std::fs::File;
@@ -46,6 +47,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// Has hosts taken out for work, one after the other, as the proxies settle it.
+    Work {
+        /// The side port of any one proxy, as [status] has it.
+        address: SocketAddr,
+        #[command(subcommand)]
+        what: work::Command,
+    },
     /// Checks an operators' file, and the configuration where ROUTER_CONFIG is set, without starting.
     Check {
         /// The operators' file.
@@ -85,6 +93,7 @@
         Some(Command::AuditVerify(verify)) => return verify.run(),
         Some(Command::Replay(replay)) => return replay.run(),
         Some(Command::Check { file }) => return check(&file),
+        Some(Command::Work { address, what }) => return what.run(address),
         Some(Command::Members { address, json }) => return show_members(address, json),
         None => line.file.map_or(Ok(Features::default()), |file| Features::load(&file)).and_then(start),
     };
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -4,6 +4,7 @@
 use crate::features::audit::Trail;
 use crate::features::capture::{Dumps, Recorder, Watch};
 use crate::features::status::{Page, Shared};
+use crate::features::work::Known;
 use crate::features::Features;
 use crate::http::{front, Http};
 use crate::output;
@@ -11,6 +12,7 @@
 use flaxhead_membership::Name;
 use flaxhead_peers::Peers;
 use flaxhead_policy::Access;
+use flaxhead_work::Work;
 use std::cell::RefCell;
 use std::fs;
 use std::net::SocketAddr;
@@ -32,6 +34,8 @@
     pub dumps: Option<Dumps>,
     /// The membership among client proxies.
     pub peers: Option<Peers>,
+    /// Hosts taken out for work, and what is known of the hosts for it.
+    pub work: Option<(Work, Known)>,
     /// Address lists.
     pub access: Option<Access>,
 }
@@ -71,8 +75,13 @@
             Peers::bind(settings, name, !config.seed).map_err(|e| format!("[peers] listen: {at}: {e}"))
         });
         let peers = peers.transpose()?;
+        let work = features.work.zip(peers.clone()).map(|(mut settings, peers)| {
+            let longest = config.settings.classes.iter().map(|class| class.deadline).max();
+            settings.config.longest_call = longest.unwrap_or(settings.config.longest_call);
+            (Work::start(settings, peers, config.seed.rotate_left(32)), Known::default())
+        });
         let (access, dumps, board) = (features.access, dumps.transpose()?, Shared::default());
-        let side = Side { status, board, trail, recorder, peers, access, dumps };
+        let side = Side { status, board, trail, recorder, peers, work, access, dumps };
         config.side_descriptors = side.descriptors();
         Ok(side)
     }
@@ -89,6 +98,7 @@
         let board = self.status.as_ref().map(|_| Box::new(self.board.clone()) as Box<dyn Observer<Http>>);
         let trail = self.trail.as_ref().map(|trail| Box::new(trail.clone()) as _);
         let ring = self.recorder.as_ref().map(|ring| Box::new(Watch::new(ring.clone())) as _);
-        [board, trail, ring].into_iter().flatten().collect()
+        let known = self.work.as_ref().map(|(_, known)| Box::new(known.clone()) as _);
+        [board, trail, ring, known].into_iter().flatten().collect()
     }
 }
