Show the turns with several processes and faults that come at a stage; two defects mended

Found by them and mended: a holder that had no list yet told operators that no proxy knows a host, and would have settled a host whose zone and pod it did not know; a zone whose hosts had all left the list did not count as lost.

--- a/accord/src/holder.rs
+++ b/accord/src/holder.rs
@@ -351,6 +351,10 @@
         if let Some(limit) = config.limits.forbid() {
             return Err(Refusal::Never(format!("the limit {limit} is 0")));
         }
+        // Before it has a list itself it can say nothing of hosts.
+        if facts.hosts.is_empty() {
+            return Err(Refusal::NoHolder);
+        }
         if !facts.hosts.contains_key(&ask.host) {
             return Err(Refusal::UnknownHost(ask.host));
         }
--- a/accord/src/plan.rs
+++ b/accord/src/plan.rs
@@ -54,6 +54,8 @@
     Unsettled(String),
     /// The proxies have forgotten what is out.
     Forgotten,
+    /// The list does not have it.
+    Unlisted,
     /// Others are ahead of it.
     Behind(u64),
 }
@@ -71,6 +73,7 @@
             Obstacle::LostZone(zone) => write!(f, "zone {zone} is lost"),
             Obstacle::Unsettled(who) => write!(f, "the membership is not settled: {who}"),
             Obstacle::Forgotten => write!(f, "the proxies were restarted and do not know what is out"),
+            Obstacle::Unlisted => write!(f, "discovery does not list it"),
             Obstacle::Behind(id) => write!(f, "turn {id} is ahead of it"),
         }
     }
@@ -150,7 +153,7 @@
         if self.taken().count() as u32 >= all {
             return Some(Obstacle::All(all));
         }
-        let fact = self.host(turn)?;
+        let Some(fact) = self.host(turn) else { return Some(Obstacle::Unlisted) };
         if self.taken_like(|f| f.zone == fact.zone) >= zone {
             return Some(Obstacle::Zone(fact.zone.clone()));
         }
--- a/lab/src/proxy.rs
+++ b/lab/src/proxy.rs
@@ -191,12 +191,18 @@
 
     /// Starts it again, after it was killed, with a new seed and the list as it was last told.
     pub fn restart(&mut self, seed: u64, list: &Value) -> io::Result<()> {
+        self.relaunch(seed, list)?;
+        self.ready()
+    }
+
+    /// The same, without waiting until it is ready.
+    pub fn relaunch(&mut self, seed: u64, list: &Value) -> io::Result<()> {
         let mut config: Value = serde_json::from_slice(&fs::read(&self.config)?)?;
         config["known"] = list.clone();
         config["seed"] = format!("{seed:016x}").into();
         fs::write(&self.config, serde_json::to_vec_pretty(&config)?)?;
         self.child = spawn(&self.program, &self.config, self.own_file.as_deref(), &self.log)?;
-        self.ready()
+        Ok(())
     }
 
     /// Keeps it, and what it starts, to these processors.
@@ -268,7 +274,8 @@
     Ok(child)
 }
 
-fn health(address: SocketAddr) -> io::Result<bool> {
+/// Whether the proxy at an address says that it is ready.
+pub fn health(address: SocketAddr) -> io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(200))?;
     stream.set_read_timeout(Some(Duration::from_millis(500)))?;
     stream.write_all(b"GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")?;
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -11,7 +11,7 @@
 use crate::peers::judge::{Judge, PeerFigures};
 use crate::peers::relay::Relay;
 use crate::peers::rig::{agreed, own_file, shown, Shown};
-use crate::proxy::{configuration, free_address, Program, Proxy, Usage};
+use crate::proxy::{configuration, free_address, health, Program, Proxy, Usage};
 use crate::turns::judge::TurnFigures;
 use crate::turns::operators::Operators;
 use crate::turns::script::Blow;
@@ -31,6 +31,8 @@
 const HEAD_START: Duration = Duration::from_millis(1_500);
 /// Where hosts are taken out for work, proxies that all start at once serve nothing for two or three leases.
 const HEAD_START_LEASES: u32 = 6;
+/// How long a proxy that was started again may take until it serves.
+const LET_IN: Duration = Duration::from_secs(60);
 const HEAD_START_EACH: Duration = Duration::from_millis(100);
 /// What a time limit is longer by on sockets.
 const SLACK: Micros = 50_000;
@@ -429,19 +431,27 @@
             }
             (_, false) => {
                 let list = self.fleet.list(place).unwrap_or_default();
-                between.started(place).and_then(|()| proxy.restart(self.seed ^ now, &list))
+                between.started(place).and_then(|()| proxy.relaunch(self.seed ^ now, &list))
             }
         };
         if let Err(error) = done {
             // The audit finds what follows from it.
             eprintln!("flaxhead-lab: proxy {place}: {error}");
         }
-        let mut since = since.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let address = proxy.address;
+        drop(all);
+        let held = || since.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         if on {
-            since.insert(place, now.saturating_sub(OUTAGE_EDGE));
+            held().insert(place, now.saturating_sub(OUTAGE_EDGE));
             return None;
         }
-        since.remove(&place).map(|from| (place, from, self.epoch.now() + OUTAGE_EDGE))
+        // It serves once it is let in, for which it may need others that are still to be started.
+        let until = std::time::Instant::now() + LET_IN;
+        while what == Blow::Kill && std::time::Instant::now() < until && !health(address).is_ok_and(|ok| ok) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        let from = held().remove(&place);
+        from.map(|from| (place, from, self.epoch.now() + OUTAGE_EDGE))
     }
 }
 
--- a/lab/src/turns/judge.rs
+++ b/lab/src/turns/judge.rs
@@ -19,7 +19,7 @@
     pub done: Option<Micros>,
     /// How it ended, in words.
     pub end: Option<String>,
-    /// What it waited for, in the order in which it was shown.
+    /// What it waited for, each once, in the order in which it was first shown.
     pub waits: Vec<String>,
 }
 
--- a/lab/src/turns/operators.rs
+++ b/lab/src/turns/operators.rs
@@ -125,7 +125,12 @@
         }
         hit.iter().for_each(|&place| (self.strikes)(strike.what, place, true));
         sleep(Duration::from_secs_f64(strike.lasts));
-        hit.iter().for_each(|&place| (self.strikes)(strike.what, place, false));
+        // All at once: one may need the others to be ready.
+        std::thread::scope(|scope| {
+            for place in hit {
+                scope.spawn(move || (self.strikes)(strike.what, place, false));
+            }
+        });
     }
 
     /// All have forgotten: what operators know to be out is said again, and then that it is all. They say so only once
@@ -197,7 +202,7 @@
                 rows.iter().map(|r| r.waits_for.clone()).filter(|w| !w.is_empty()).collect();
             let mut told = held(&self.told);
             for wait in waits {
-                if told[place].waits.last() != Some(&wait) {
+                if !told[place].waits.contains(&wait) {
                     told[place].waits.push(wait);
                 }
             }
--- a/proxy/src/features/work.rs
+++ b/proxy/src/features/work.rs
@@ -23,6 +23,8 @@
 const FAILING: f64 = 0.5;
 /// Hosts of a zone that must have failed, and none served, for the zone to count as lost.
 const LOST_LEAST: usize = 2;
+/// How long a zone whose last host has left the list counts as lost: one that was given up for good is forgotten.
+const ZONE_MEMORY: Duration = Duration::from_secs(600);
 /// Memory of the calls in hand.
 const LOAD_MEMORY: f64 = 10.0;
 
@@ -86,6 +88,8 @@
 /// What is known of the hosts: from lists, and from attempts.
 #[derive(Debug, Default)]
 struct Board {
+    /// Zones that had a host that was ready, and when last.
+    zones: BTreeMap<String, Instant>,
     hosts: BTreeMap<String, (ServerId, Host)>,
     seen: HashMap<ServerId, Seen>,
 }
@@ -101,6 +105,10 @@
                 _ => drop(self.hosts.insert(host.host.clone(), (*server, host.clone()))),
             }
         }
+        let now = Instant::now();
+        let ready = self.hosts.values().filter(|(_, host)| host.health == Health::Ready);
+        self.zones.extend(ready.map(|(_, host)| (host.site.clone(), now)));
+        self.zones.retain(|_, at| now.duration_since(*at) < ZONE_MEMORY);
     }
 
     fn ended(&mut self, server: ServerId, outcome: Outcome) {
@@ -119,8 +127,12 @@
         self.seen.get(&server).filter(|seen| seen.at.elapsed() < SHOWN)
     }
 
-    /// A zone all of whose hosts that were lately tried failed last.
+    /// Zones that had hosts and have none that is ready, and those all of whose hosts that were lately tried failed last.
     fn lost(&self) -> BTreeSet<String> {
+        let ready = |zone: &str| {
+            self.hosts.values().any(|(_, host)| host.health == Health::Ready && host.site == zone)
+        };
+        let empty = self.zones.keys().filter(|zone| !ready(zone)).cloned();
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for (server, host) in self.hosts.values() {
             if let Some(seen) = self.lately(*server) {
@@ -129,7 +141,7 @@
             }
         }
         let lost = |(_, (failed, served)): &(&str, (usize, usize))| *served == 0 && *failed >= LOST_LEAST;
-        zones.into_iter().filter(lost).map(|(zone, _)| zone.to_owned()).collect()
+        zones.into_iter().filter(lost).map(|(zone, _)| zone.to_owned()).chain(empty).collect()
     }
 }
 
@@ -296,5 +308,10 @@
         assert_eq!(board.lost().into_iter().collect::<Vec<_>>(), ["a"]);
         board.ended(ServerId(1), Outcome::Served);
         assert!(board.lost().is_empty());
+        // And one whose hosts have all left the list, though nothing failed there.
+        let gone = |host: Host| Host { health: Health::Terminating, ..host };
+        let hosts: Vec<Host> = list.hosts.into_iter().skip(2).map(gone).collect();
+        board.listed(&List { seq: 2, whole: false, hosts }, &servers[2..]);
+        assert_eq!(board.lost().into_iter().collect::<Vec<_>>(), ["b"]);
     }
 }
