Where all have forgotten, let nobody in before somebody says what is out or the wait is over

Seen: all_proxies_killed_at_once, played beside six other test programs (load 50 on 6 cores), counted one request to a host that was told free: proxy 0, restarted, 3.9 s after "free". Cause: the holder that forgot lets processes in at once under an empty board, and the operators came later. They are let in by a holder that remembers, by itself or by a process that was let in all along; else they wait alone_s (15 s), as where nobody answers.

--- a/accord/src/config.rs
+++ b/accord/src/config.rs
@@ -18,7 +18,8 @@
     pub drain_most: Micros,
     /// After all voters have forgotten: how long nothing new is settled, unless the operators say that all is known.
     pub cold_wait: Micros,
-    /// How long a restarted proxy that nobody answers sends nothing; then it serves by its own judgement.
+    /// How long a restarted proxy sends nothing where nobody answers, or nobody that knows what is out; then it serves by
+    /// its own judgement.
     pub alone_after: Micros,
     /// How long a host that came back counts as out, if it does not show itself warm.
     pub back_most: Micros,
@@ -37,7 +38,7 @@
             longest_call: 10_000_000,
             drain_most: 600_000_000,
             cold_wait: 3_600_000_000,
-            alone_after: 60_000_000,
+            alone_after: 15_000_000,
             back_most: 120_000_000,
             limits: Limits::default(),
             past_most: 64,
--- a/accord/src/holder.rs
+++ b/accord/src/holder.rs
@@ -89,6 +89,8 @@
     heard: BTreeMap<Process, Heard>,
     /// Since when it is not known for sure who may send, and what is out.
     pub cold: Option<Micros>,
+    /// Whose board it has heard of all that is out: one that has been let in all along.
+    survivor: bool,
     pending: Vec<Pending>,
     pub noted: Vec<Noted>,
 }
@@ -106,7 +108,7 @@
         config: &Config,
         voters: &Voters,
         bid: Bid,
-        own: &Board,
+        (own, admitted): (&Board, bool),
         me: Process,
     ) -> Holder {
         let Bid { ballot, sent, promises, granted, .. } = bid;
@@ -136,6 +138,7 @@
             board_at: now,
             heard: BTreeMap::new(),
             cold: (!sure).then_some(now),
+            survivor: admitted,
             pending: Vec::new(),
             noted: Vec::new(),
             ballot,
@@ -253,8 +256,14 @@
         (goes, !current)
     }
 
+    /// Whether it knows what is out.
+    pub(crate) fn remembers(&self) -> bool {
+        self.cold.is_none() || self.survivor
+    }
+
     /// Another's board, where it is not known for sure what is out.
-    pub(crate) fn shown(&mut self, other: &Board) {
+    pub(crate) fn shown(&mut self, other: &Board, admitted: bool) {
+        self.survivor |= admitted;
         if self.board.absorb(other) {
             self.changed();
         }
--- a/accord/src/machine.rs
+++ b/accord/src/machine.rs
@@ -295,21 +295,22 @@
             Message::Show { ballot } => {
                 if ballot.name == *from && self.member.hears(&ballot) {
                     let board = self.member.board_now(now);
-                    self.send(from, Message::Shown { ballot, board }, out);
+                    let admitted = self.member.admitted;
+                    self.send(from, Message::Shown { ballot, board, admitted }, out);
                 }
             }
-            Message::Shown { ballot, board } => {
+            Message::Shown { ballot, board, admitted } => {
                 let holder = self.holder.as_mut().filter(|holder| holder.ballot == ballot);
                 if let Some(holder) = holder.filter(|holder| holder.cold.is_some()) {
-                    holder.shown(&board);
+                    holder.shown(&board, admitted);
                     self.work(around, out);
                     self.tell(from, out);
                 }
             }
-            Message::Granted { ballot, life, stamp } => {
+            Message::Granted { ballot, life, stamp, remembers } => {
                 if ballot.name == *from && life == self.me.life && stamp <= now && self.member.hears(&ballot)
                 {
-                    self.member.granted(stamp, &self.config);
+                    self.member.granted(now, stamp, remembers, &self.config);
                     self.elsewhere = Some((from.clone(), now));
                 }
             }
@@ -521,7 +522,8 @@
         }
         let Some(bid) = self.bid.take() else { return };
         let own = self.member.board_now(now);
-        let holder = Holder::new(now, &self.config, &self.voters, bid, &own, self.me.clone());
+        let holder =
+            Holder::new(now, &self.config, &self.voters, bid, (&own, self.member.admitted), self.me.clone());
         self.member.told(now, holder.board.clone());
         self.holder = Some(Box::new(holder));
         self.tries = 0;
@@ -646,8 +648,9 @@
         let roster = holder.roster.version.seq;
         let (goes, behind) = holder.renewed(now, &self.config, &self.voters, renewal);
         let enrolled = holder.roster.version.seq != roster;
+        let remembers = holder.remembers();
         if goes {
-            self.send(from, Message::Granted { ballot: ballot.clone(), life, stamp }, out);
+            self.send(from, Message::Granted { ballot: ballot.clone(), life, stamp, remembers }, out);
         }
         if show {
             self.send(from, Message::Show { ballot }, out);
--- a/accord/src/member.rs
+++ b/accord/src/member.rs
@@ -78,8 +78,13 @@
         true
     }
 
-    pub(crate) fn granted(&mut self, stamp: Micros, config: &Config) {
-        // Only of the board that counts: one that knows no board of this fence has confirmed nothing.
+    /// Leave came. One that is not let in yet takes it only of a holder that knows what is out; where all have forgotten,
+    /// it waits for as long as if nobody had answered.
+    pub(crate) fn granted(&mut self, now: Micros, stamp: Micros, remembers: bool, config: &Config) {
+        let waited = now.saturating_sub(self.started) >= config.alone_after;
+        if !(self.admitted || remembers || waited) {
+            return;
+        }
         self.admitted = true;
         self.permitted = self.permitted.max(stamp + config.lease);
     }
--- a/accord/src/message.rs
+++ b/accord/src/message.rs
@@ -149,6 +149,8 @@
         ballot: Ballot,
         /// The board.
         board: Board,
+        /// The process has been let in, and so has heard of all that is out.
+        admitted: bool,
     },
     /// It may go on.
     Granted {
@@ -158,6 +160,8 @@
         life: u64,
         /// Since when, by that process's clock.
         stamp: Micros,
+        /// The holder knows what is out, by its own memory or by that of one that has been let in all along.
+        remembers: bool,
     },
     /// The one that was asked hands out no turns.
     NotHolder {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -115,10 +115,10 @@
     let path = folder.join("schedule.jsonl");
     let written = File::create(&path).and_then(|file| schedule.write(&mut BufWriter::new(file)));
     written.map_err(doing(path.display().to_string()))?;
-    let settle = experiment
-        .work
-        .as_ref()
-        .map_or(Duration::ZERO, |work| Duration::from_millis(work.get_ref().lease_ms) * HEAD_START_LEASES);
+    let settle = experiment.work.as_ref().map_or(Duration::ZERO, |work| {
+        let work = work.get_ref();
+        Duration::from_millis(work.lease_ms) * HEAD_START_LEASES + Duration::from_secs(work.alone_s)
+    });
     let epoch = Epoch::after(HEAD_START + settle + HEAD_START_EACH * experiment.proxies.count as u32);
     let fleet = Fleet::start(experiment, &schedule, epoch).map_err(doing("the fleet"))?;
     let proxies: Shared = Arc::default();
--- a/lab/src/turns/operators.rs
+++ b/lab/src/turns/operators.rs
@@ -183,6 +183,9 @@
     fn turn(&self, place: usize, turn: &Turn) {
         let at = (turn.at * 1e6) as u64;
         sleep(self.epoch.instant(at).saturating_duration_since(std::time::Instant::now()));
+        while turn.after_strike && held(&self.struck).is_empty() && !self.over() {
+            sleep(LOOK);
+        }
         held(&self.told)[place].asked = self.epoch.now();
         let ask = Order::Ask(self.ask(turn.node));
         let Some(mut id) = self.asked(place, turn, &ask) else { return };
