Tell a process that was started again of the life before it, though that is taken to run

Cause: lives are drawn, and the new one was the lower. Machine::meet turns its packets away as of an earlier life and answered with news, but send() adds what is said of the receiver only where that is not alive; gossip of the old life had long run out; probes were answered by the new process over TCP and counted as reached. So nobody told it, and it could not claim its name. The answer now holds what is said of it. membership/tests/claims.rs fails without that.

--- a/lab/src/peers/rig.rs
+++ b/lab/src/peers/rig.rs
@@ -252,9 +252,13 @@
 }
 
 fn brief(place: usize, shown: &Shown) -> String {
-    let members: Vec<String> =
-        shown.members.iter().map(|m| format!("{}={}@{}", m.name, m.state, m.generation)).collect();
-    format!("n{place} {:?} [{}]", shown.cut_off, members.join(" "))
+    let members: Vec<String> = shown
+        .members
+        .iter()
+        .map(|m| format!("{}={}@{}.{:.4}", m.name, m.state, m.generation, m.life))
+        .collect();
+    let Shown { digest, cut_off, displaced, .. } = shown;
+    format!("n{place} {digest} {cut_off:?} {displaced} [{}]", members.join(" "))
 }
 
 /// What the process with this side port shows.
--- a/membership/src/machine.rs
+++ b/membership/src/machine.rs
@@ -543,8 +543,10 @@
         let known = self.table.get(&from.name).map(|known| known.card.stamp);
         if known.is_some_and(|known| known.life != from.stamp.life && known > from.stamp) {
             self.reject(Reject::EarlierLife);
-            // A process that has just started does not know yet what came before it.
-            self.send(Some(&from.name), from.at, Kind::News, out);
+            // A process that has just started does not know yet what came before it, and must hear of it from whoever
+            // takes that to run still: as long as it does not, nothing that it says is taken.
+            let updates = self.table.update(&from.name).into_iter().collect();
+            out.push(Effect::Send { to: from.at, packet: Packet { updates, ..self.bare(Kind::News) } });
             return false;
         }
         self.take(now, &[alive(from.clone())], true, out);
