Ask in one place whether a process was heard lately and which board it goes by

Need: holder.rs wrote the same two questions out three times each, beside Heard::lately. They are Heard::lately and Heard::goes_by everywhere now; behaviour is as before.

--- a/accord/src/holder.rs
+++ b/accord/src/holder.rs
@@ -96,6 +96,11 @@
 }
 
 impl Heard {
+    /// Whether it goes by a holder's board of this count, or a later one.
+    fn goes_by(&self, holder: &Ballot, seq: u64) -> bool {
+        self.version.fence.as_ref() == Some(holder) && self.version.seq >= seq
+    }
+
     fn lately(&self, now: Micros, config: &Config) -> bool {
         self.at.is_some_and(|at| now.saturating_sub(at) <= config.lease)
     }
@@ -218,10 +223,7 @@
 
     /// Whether a majority of voters has heard the board of this count.
     fn on_record(&self, now: Micros, config: &Config, voters: &Voters, seq: u64) -> bool {
-        let fresh = |h: &Heard| {
-            let at = h.at.is_some_and(|at| now.saturating_sub(at) <= config.lease);
-            at && h.version.fence.as_ref() == Some(&self.ballot) && h.version.seq >= seq
-        };
+        let fresh = |h: &Heard| h.lately(now, config) && h.goes_by(&self.ballot, seq);
         voters.majority(|name| self.heard.iter().any(|(p, h)| p.name == *name && fresh(h)))
     }
 
@@ -399,7 +401,7 @@
             return Err(Refusal::UnknownProcess(name));
         }
         let heard = |p: &Process| {
-            let fresh = |h: &Heard| h.at.is_some_and(|at| now.saturating_sub(at) <= config.lease);
+            let fresh = |h: &Heard| h.lately(now, config);
             let fact = facts.members.get(&p.name);
             let runs = fact.is_some_and(|f| f.life == p.life && f.presence == Presence::Runs);
             runs || self.heard.get(p).is_some_and(fresh)
@@ -483,15 +485,14 @@
 
     /// Whom a settled turn waits for: all must know that it is announced.
     fn not_announced(&self, seq: u64) -> Option<&Process> {
-        let knows = |h: &Heard| h.version.fence.as_ref() == Some(&self.ballot) && h.version.seq >= seq;
-        self.heard.iter().find(|(_, heard)| !knows(heard)).map(|(process, _)| process)
+        self.heard.iter().find(|(_, heard)| !heard.goes_by(&self.ballot, seq)).map(|(process, _)| process)
     }
 
     /// Whom a draining turn waits for, and why: all have stopped and have nothing there, or their permission has run
     /// out and with it whatever they can have had in hand.
     fn not_drained(&self, now: Micros, config: &Config, seq: u64, host: &str) -> Option<String> {
         self.heard.iter().find_map(|(process, heard)| {
-            let knows = heard.version.fence.as_ref() == Some(&self.ballot) && heard.version.seq >= seq;
+            let knows = heard.goes_by(&self.ballot, seq);
             let busy = heard.busy.get(host).copied().unwrap_or(0);
             let name = &process.name;
             match (knows, busy) {
@@ -626,7 +627,7 @@
         if let Some((name, _)) = doubted {
             return Some(Obstacle::Unsettled(format!("{name} is doubted")));
         }
-        let silent = |h: &Heard| h.at.is_none_or(|at| now.saturating_sub(at) > config.lease);
+        let silent = |h: &Heard| !h.lately(now, config);
         let unheard = self.heard.iter().find(|(_, heard)| silent(heard));
         unheard.map(|(p, _)| Obstacle::Unsettled(format!("{} is not heard and may still send", p.name)))
     }
