Split the front into clients, conversation, request and answer

Cause: one file of 344 lines held the listener, the table of connections, one connection's life, the reading of requests and the answers. Change: a folder with one module for each; moved lines only.

--- /dev/null
+++ b/proxy/src/http/front/answer.rs
@@ -0,0 +1,32 @@
+//! What clients are answered.
+
+use super::request::end_to_end;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{self, HeaderValue};
+use hyper::{Response, StatusCode};
+use std::time::Duration;
+
+/// An answer to a client.
+pub(super) type Answer = Response<Full<Bytes>>;
+
+pub(super) fn served(answer: Response<Bytes>) -> Answer {
+    let (mut head, body) = answer.into_parts();
+    head.headers = end_to_end(head.headers);
+    Response::from_parts(head, Full::new(body))
+}
+
+pub(super) fn refused(code: StatusCode, after: Duration) -> Answer {
+    let mut answer = plain(code);
+    let seconds = format!("{:.3}", after.as_secs_f64());
+    answer
+        .headers_mut()
+        .extend(HeaderValue::try_from(seconds).ok().map(|value| (header::RETRY_AFTER, value)));
+    answer
+}
+
+pub(super) fn plain(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/proxy/src/http/front/mod.rs
@@ -0,0 +1,88 @@
+//! The application's side: takes requests in and gives each its one answer.
+
+mod answer;
+mod clients;
+mod conversation;
+mod request;
+
+use super::Engine;
+use crate::config::Config;
+use crate::features::shares::Lines;
+use clients::{Clients, ACCEPT_PAUSE};
+use flaxhead_policy::Access;
+use hyper_util::server::graceful::GracefulShutdown;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::{sleep, timeout};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+/// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
+const STOP_DELAY: Duration = Duration::from_millis(500);
+/// How long open requests are waited for after that: the longest deadline.
+const STOP_MOST: Duration = Duration::from_secs(3);
+
+/// What a front hands requests to, and what it checks them by.
+#[derive(Clone)]
+pub struct Driver {
+    /// Gives each its answer.
+    pub engine: Engine,
+    /// Names of classes and tenants, and the limits.
+    pub config: Rc<Config>,
+    /// Where calls wait for their tenant's units, if tenants share any.
+    pub lines: Option<Lines>,
+}
+
+/// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
+/// next one from starting.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
+/// between requests and returns when none is left. Whom it serves `access` says, if the operators do.
+pub async fn serve(
+    listener: TcpListener,
+    driver: Driver,
+    access: Option<Access>,
+    stop: impl Future<Output = ()>,
+) {
+    let access = access.map(Rc::new);
+    let mut clients = Clients { driver, access, graceful: GracefulShutdown::new(), open: Vec::new() };
+    let mut stop = pin!(async {
+        stop.await;
+        sleep(STOP_DELAY).await;
+    });
+    loop {
+        tokio::select! {
+            () = clients.room() => {}
+            () = &mut stop => break,
+        }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => clients.serve(stream, peer.ip()),
+                Err(error) => {
+                    tracing::info!("accept: {error}");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            () = &mut stop => break,
+        }
+    }
+    // What the machine has accepted by now has been taken: closing the listener would reset it.
+    while clients.has_room() {
+        let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await else { break };
+        clients.serve(stream, peer.ip());
+    }
+    drop(listener);
+    // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
+    let _ = timeout(STOP_MOST, clients.graceful.shutdown()).await;
+}
--- /dev/null
+++ b/proxy/src/http/front/request.rs
@@ -0,0 +1,91 @@
+//! What clients ask, read and checked: what is unusable never reaches the module.
+
+use super::Driver;
+use crate::config::Config;
+use crate::http::exchange::BODY_MOST;
+use crate::http::Forward;
+use flaxhead_engine::Ask;
+use flaxhead_policy::{ClassId, Repeat, TenantId};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Request, StatusCode, Uri};
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+
+/// The part of a client's time that is kept for the answer's way back.
+const WAY_BACK: Duration = Duration::from_millis(10);
+
+/// Reads a request whole. What cannot be used is turned away with a status; the module never sees it.
+pub(super) async fn take_in(
+    driver: &Driver,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<(Ask, Forward), StatusCode> {
+    let (head, body) = request.into_parts();
+    let (mut ask, budget) =
+        ask(&driver.config, &head.method, &head.headers).ok_or(StatusCode::BAD_REQUEST)?;
+    ask.deadline = arrived + budget.saturating_sub(WAY_BACK);
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    let body = match timeout_at(arrived + budget, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
+        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+    };
+    let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
+    let forward = Forward { method: head.method, target, headers: end_to_end(head.headers), body };
+    Ok((ask, forward))
+}
+
+/// What the head says of a request; `None` if its id, class or budget is missing, double or unusable, or its method
+/// is not the class's: no client sends that, and a host would meet a request that is nobody's.
+fn ask(config: &Config, method: &Method, headers: &HeaderMap) -> Option<(Ask, Duration)> {
+    single(headers, "x-call-id").filter(|id| !id.is_empty())?;
+    let class = place(&config.classes, single(headers, "x-call-class")?)?;
+    let spec = config.settings.classes.get(class)?;
+    let wanted = if spec.repeat == Repeat::Free { Method::GET } else { Method::POST };
+    if *method != wanted {
+        return None;
+    }
+    // Without its key a keyed request would run again wherever it is sent again.
+    if matches!(spec.repeat, Repeat::Guarded { .. }) {
+        single(headers, "idempotency-key").filter(|key| !key.is_empty())?;
+    }
+    let budget = single(headers, "x-budget-ms")?.parse::<u32>().ok().filter(|ms| *ms > 0)?;
+    // No client waits longer than its class: more would let a body that never ends keep its place for weeks.
+    let budget = Duration::from_millis(budget.into()).min(Duration::from_micros(spec.deadline));
+    let tenant = single(headers, "x-caller").and_then(|name| place(&config.tenants, name)).map(TenantId);
+    let resent = single(headers, "x-again").is_some_and(|value| value == "1");
+    let ask = Ask {
+        class: ClassId(class),
+        tenant,
+        deadline: Instant::now(),
+        resent,
+        attempts_most: Ask::UNBOUNDED,
+    };
+    Some((ask, budget))
+}
+
+fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    values.next().filter(|_| values.next().is_none())?.to_str().ok()
+}
+
+/// Headers that go on to the other side: all but those of this connection and its framing.
+pub(super) fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let named: Vec<String> = named.flat_map(|v| v.split(',')).map(|name| name.trim().to_owned()).collect();
+    let fixed = ["connection", "content-length", "expect", "keep-alive", "proxy-connection", "te", "trailer"];
+    let more = ["transfer-encoding", "upgrade"];
+    for name in named.iter().map(String::as_str).chain(fixed).chain(more) {
+        headers.remove(name);
+    }
+    headers
+}
