Watch clients while their answer is owed, and close their connections in order

Ruled out: calls held past their client's leave by the engine (an ended wait withdraws what is unwritten, and the tests without trailing bytes pass). At fault: the HTTP library stops reading behind an open request as soon as it holds bytes that it has no use for (front: serve_connection on the bare stream), so that the close of a client that sent anything more was never seen; and a further request's time was counted from its turn. A stop closed connections over unread bytes. Change: presence.rs reads the connection ahead, within 16 KiB, while an answer is owed; time counts from the read; a closing connection is shut, then read and dropped for 0.2 s; at a stop only a connection without any of a request is closed.

--- a/proxy/src/http/front/conversation.rs
+++ b/proxy/src/http/front/conversation.rs
@@ -1,6 +1,7 @@
 //! One client's connection, from its first byte to its end.
 
 use super::answer::{plain, refused, served, Answer};
+use super::presence::{Activity, ClientStream, Phase};
 use super::request::take_in;
 use super::Driver;
 use crate::features::access::{self, Admitted};
@@ -11,25 +12,40 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::Watcher;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::{poll_fn, Future};
 use std::net::IpAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
 
 /// Time for a further request's head, from the last answer: a client that says nothing more is closed.
 const HEAD_TIME: Duration = Duration::from_secs(60);
 
+/// How far the proxy's stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// It has not begun.
+    Serving,
+    /// Connections without a request are closed.
+    Closing,
+    /// All that was open has been answered: what still comes whole is refused.
+    Answered,
+}
+
 /// What a client's connection needs to be served.
 pub(super) struct Conversation {
     pub(super) driver: Driver,
-    pub(super) idle: Rc<Cell<Option<Instant>>>,
-    pub(super) watcher: Watcher,
+    /// What the connection does, for those that decide about it.
+    pub(super) activity: Rc<Activity>,
+    /// How far the proxy's stop has come.
+    pub(super) stage: watch::Receiver<Stage>,
     /// When its first request must have come, whole.
     pub(super) first_due: Instant,
 }
@@ -49,34 +65,71 @@
 
     /// Answers what comes on a connection, until it ends.
     pub(super) async fn hold(self, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
-        let Conversation { driver, idle, watcher, first_due } = self;
+        let Conversation { driver, activity, mut stage, first_due } = self;
+        let stream = ClientStream::new(stream, activity.clone());
         let proper = Rc::new(Cell::new(false));
-        let first = proper.clone();
-        let service = service_fn(move |request| {
-            let (driver, state, first) = (driver.clone(), idle.clone(), first.clone());
-            async move {
-                state.set(None);
-                let answer = answer(driver, request, &first).await;
-                state.set(Some(Instant::now()));
-                Ok::<_, Infallible>(answer)
+        let service = service_fn({
+            let (activity, proper, stage) = (activity.clone(), proper.clone(), stage.clone());
+            move |request| {
+                let (driver, activity, proper) = (driver.clone(), activity.clone(), proper.clone());
+                let stage = stage.clone();
+                async move {
+                    activity.enter(Phase::Reading);
+                    let answer = answer(driver, request, &activity, &proper, &stage).await;
+                    activity.enter(Phase::Resting);
+                    Ok::<_, Infallible>(answer)
+                }
             }
         });
-        let connection = hyper::server::conn::http1::Builder::new()
+        let mut connection = pin!(hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_MOST)
-            .serve_connection(TokioIo::new(stream), service);
-        // A connection that breaks ends its request's waiting, which tells the module.
-        let mut connection = pin!(watcher.watch(connection));
-        if timeout_at(first_due, &mut connection).await.is_err() && proper.get() {
-            let _ = connection.await;
+            .serve_connection(TokioIo::new(stream.clone()), service));
+        let mut stop = pin!(async move {
+            // Nobody is left to say it once the whole proxy has ended.
+            let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
+        });
+        let (mut stops, mut ends_soon) = (false, false);
+        let mut held = pin!(poll_fn(|context| {
+            stops = stops || stop.as_mut().poll(context).is_ready();
+            // Once more where the library is not woken: for what was read ahead of it, or for a stop.
+            for _ in 0..2 {
+                let waits = activity.phase() == Phase::Waiting;
+                // What has come by then is read and answered: only a connection without any of a request is closed.
+                if stops && !ends_soon && (waits || stream.is_quiet(context)) {
+                    connection.as_mut().graceful_shutdown();
+                    ends_soon = true;
+                }
+                if connection.as_mut().poll(context).is_ready() {
+                    return Poll::Ready(());
+                }
+                let waits = activity.phase() == Phase::Waiting;
+                if waits || !stream.has_ahead() && (ends_soon || !stops) {
+                    break;
+                }
+            }
+            // A connection that ends here ends its request's waiting, which tells the module.
+            match activity.phase() {
+                Phase::Waiting => stream.poll_departed(context),
+                _ => Poll::Pending,
+            }
+        }));
+        if timeout_at(first_due, &mut held).await.is_err() && proper.get() {
+            held.await;
         }
     }
 }
 
 /// Answers a request; `proper` is set once one has come whole.
-async fn answer(driver: Driver, request: Request<Incoming>, proper: &Cell<bool>) -> Answer {
-    let arrived = Instant::now();
+async fn answer(
+    driver: Driver,
+    request: Request<Incoming>,
+    activity: &Activity,
+    proper: &Cell<bool>,
+    stage: &watch::Receiver<Stage>,
+) -> Answer {
+    let arrived = activity.received();
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/_health") => {
             proper.set(true);
@@ -86,6 +139,10 @@
         (_, "/api") => match take_in(&driver, request, arrived).await {
             Ok((ask, forward)) => {
                 proper.set(true);
+                activity.enter(Phase::Waiting);
+                if *stage.borrow() == Stage::Answered {
+                    return refused(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
+                }
                 // A client that goes meanwhile leaves its line.
                 let ticket = match &driver.lines {
                     None => None,
--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -3,14 +3,15 @@
 mod answer;
 mod clients;
 mod conversation;
+mod presence;
 mod request;
 
 use super::Engine;
 use crate::config::Config;
 use crate::features::shares::Lines;
 use clients::{Clients, ACCEPT_PAUSE};
+use conversation::Stage;
 use flaxhead_policy::Access;
-use hyper_util::server::graceful::GracefulShutdown;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Connections that may wait to be accepted.
@@ -26,6 +28,8 @@
 const STOP_DELAY: Duration = Duration::from_millis(500);
 /// How long open requests are waited for after that: the longest deadline.
 const STOP_MOST: Duration = Duration::from_secs(3);
+/// How long another connection that the machine has accepted is looked for: any time at all lets the system tell of it.
+const STOP_ACCEPT: Duration = Duration::from_millis(1);
 
 /// What a front hands requests to, and what it checks them by.
 #[derive(Clone)]
@@ -56,7 +60,7 @@
     stop: impl Future<Output = ()>,
 ) {
     let access = access.map(Rc::new);
-    let mut clients = Clients { driver, access, graceful: GracefulShutdown::new(), open: Vec::new() };
+    let mut clients = Clients { driver, access, stage: watch::Sender::new(Stage::Serving), open: Vec::new() };
     let mut stop = pin!(async {
         stop.await;
         sleep(STOP_DELAY).await;
@@ -79,10 +83,11 @@
     }
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.has_room() {
-        let Ok(Ok((stream, peer))) = timeout(Duration::ZERO, listener.accept()).await else { break };
+        let Ok(Ok((stream, peer))) = timeout(STOP_ACCEPT, listener.accept()).await else { break };
         clients.serve(stream, peer.ip());
     }
     drop(listener);
+    clients.stage.send_replace(Stage::Closing);
     // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
-    let _ = timeout(STOP_MOST, clients.graceful.shutdown()).await;
+    let _ = timeout(STOP_MOST, clients.ended()).await;
 }
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -155,3 +155,29 @@
         assert!(seen <= sent, "{seen} ran of {sent}");
     });
 }
+
+/// What a client has sent behind its request is not read any more at a stop, and must not take the answer along: a close
+/// over unread bytes would reset the connection.
+#[test]
+fn a_stop_ends_connections_in_order_over_what_was_sent_behind_a_request() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let mut proxy = Proxy::start(std::slice::from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        client.send(&request("unsafe", "", "")).await;
+        eventually("the host has it", || host.count() == 1).await;
+        drop(proxy.stop.take());
+        // Nothing listens any longer: connections between requests are being closed.
+        while TcpStream::connect(proxy.address).await.is_ok() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        client.send(&"x".repeat(12 << 10)).await;
+        host.release.notify_one();
+        assert_eq!(client.message().await.expect("an answer").body, b"released");
+        let mut rest = Vec::new();
+        let end = tokio::io::AsyncReadExt::read_to_end(&mut client.stream, &mut rest).await;
+        assert!(end.is_ok(), "reset: {end:?}");
+        assert_eq!(host.count(), 1);
+        proxy.task.await.expect("it ends without a panic");
+    });
+}
