Give up places of silent clients soon, so that requests do not stand behind them

Ruled out: descriptors (they are counted by the table and never ran out), discovery (reached), the processor (0.04 s a second). At fault: front/clients.rs, IDLE_LEAST for all. Change: a connection that has said nothing yields after 50 ms, half a request after 0.5 s without a byte, one that was answered after 0.25 s; the first two first.

--- a/proxy/src/http/front/clients.rs
+++ b/proxy/src/http/front/clients.rs
@@ -4,6 +4,7 @@
 use super::presence::{Activity, Phase};
 use super::Driver;
 use flaxhead_policy::{Access, Admission};
+use std::cmp::Reverse;
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,8 +13,13 @@
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{sleep, Instant};
 
-/// A connection that had its last answer this long ago has surely sent it.
-const IDLE_LEAST: Duration = Duration::from_secs(1);
+/// How long a connection keeps its place from others that wait for one, by what it does. A client sends as it connects,
+/// and a fraction of a millisecond lies between the two: one that has said nothing for so long has nothing to say.
+const NEW_LEAST: Duration = Duration::from_millis(50);
+/// One that was answered so long ago has surely got its answer.
+const RESTING_LEAST: Duration = Duration::from_millis(250);
+/// A request that is under way comes piece by piece, and nothing has come of this one for so long.
+const READING_LEAST: Duration = Duration::from_millis(500);
 /// Time from a connection's start for its first request, whole: a peer that sends something else, or nothing, is
 /// closed. The terms allow 3 s.
 const FIRST_TIME: Duration = Duration::from_millis(2_500);
@@ -27,9 +33,17 @@
 }
 
 impl Client {
-    /// Since when no request has been open on it, if none is.
-    fn idle(&self) -> Option<Duration> {
-        (self.activity.phase() != Phase::Waiting).then(|| self.activity.age())
+    /// How readily it gives up its place, the readiest first; `None`: it keeps it.
+    fn yields(&self) -> Option<(u8, Reverse<Duration>)> {
+        let age = self.activity.age();
+        let (rank, least) = match self.activity.phase() {
+            Phase::Closing => (0, Duration::ZERO),
+            Phase::New => (1, NEW_LEAST),
+            Phase::Reading => (1, READING_LEAST),
+            Phase::Resting => (2, RESTING_LEAST),
+            Phase::Waiting => return None,
+        };
+        (age >= least).then_some((rank, Reverse(age)))
     }
 }
 
@@ -43,13 +57,12 @@
 }
 
 impl Clients {
-    /// Waits until one more connection may be open. At the limit the one that has been idle the longest is
-    /// closed: clients that keep connections and say nothing must not keep others out.
+    /// Waits until one more connection may be open. At the limit one without a request is closed, first of all one
+    /// that has never had any: clients that keep connections and say nothing must not keep others out.
     pub(super) async fn room(&mut self) {
         while !self.has_room() {
-            let oldest = self.open.iter().filter_map(|c| Some((c.idle()?, c))).max_by_key(|(idle, _)| *idle);
-            // One that has just been answered may still have its answer on the way.
-            match oldest.filter(|(idle, _)| *idle > IDLE_LEAST) {
+            let ready = self.open.iter().filter_map(|client| Some((client.yields()?, client)));
+            match ready.min_by_key(|(rank, _)| *rank) {
                 Some((_, client)) => client.task.abort(),
                 None => sleep(ACCEPT_PAUSE).await,
             }
--- /dev/null
+++ b/proxy/tests/crowd.rs
@@ -0,0 +1,136 @@
+//! Idle clients that fill the program's descriptors, while discovery is down: whoever asks is served in its time, what a
+//! host is told is what its client has left, and nothing spins.
+
+mod common;
+
+use common::*;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+/// Descriptors that the program may have, by its configuration and by the system.
+const SOCKETS: usize = 128;
+/// Clients that connect and say nothing, several times as many.
+const IDLE: usize = 500;
+/// Times of requests, as [`request`] has them, in milliseconds.
+const BUDGET: u128 = 8_000;
+/// By how much the time that a host is told may pass what is left to the client.
+const SLACK: u128 = 150;
+
+/// What a host saw of a request: when, and how much time it was told.
+type Seen = Rc<RefCell<BTreeMap<String, (Instant, u128)>>>;
+
+/// A host that notes when requests come, and answers at once.
+async fn noting() -> (SocketAddr, Seen) {
+    let listener = TcpListener::bind((own(), 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let seen = Seen::default();
+    let noted = seen.clone();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let noted = noted.clone();
+            spawn_local(async move {
+                let mut reader = Reader::new(stream);
+                while let Some(message) = reader.message().await {
+                    let header = |name| message.header(name).expect("a header").to_owned();
+                    let told = header("x-budget-ms").parse().expect("a number");
+                    noted.borrow_mut().insert(header("x-call-id"), (Instant::now(), told));
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                    if reader.stream.write_all(answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, seen)
+}
+
+fn named(id: &str) -> String {
+    request("unsafe", "", "").replace("9b1f03aa5c7e2d41", id)
+}
+
+/// Processor time that a process has used, in clock ticks of a hundredth of a second.
+fn used(child: &Child) -> u64 {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", child.id())).expect("a running process");
+    let fields: Vec<&str> = stat.rsplit(") ").next().expect("fields").split(' ').collect();
+    fields[11].parse::<u64>().expect("user time") + fields[12].parse::<u64>().expect("system time")
+}
+
+fn descriptors(child: &Child) -> usize {
+    fs::read_dir(format!("/proc/{}/fd", child.id())).expect("a running process").count()
+}
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_keep_neither_requests_nor_discovery_out() {
+    run(async {
+        let (host, seen) = noting().await;
+        let (address, discovery) = (free_address(), free_address());
+        let known = Host { address: host, ..Host::start([ok("")]).await };
+        let config = configuration(discovery, &[known], |config| {
+            config["listen"] = address.to_string().into();
+            config["settings"]["discovery"] = "push".into();
+            config["limits"]["sockets"] = SOCKETS.into();
+        });
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("crowd.json");
+        fs::write(&path, config).expect("written");
+        let limited = format!("ulimit -n {SOCKETS} && exec {}", env!("CARGO_BIN_EXE_flaxhead"));
+        let mut command = Command::new("sh");
+        command.args(["-c", &limited]).env("ROUTER_CONFIG", &path);
+        let mut child = Running::start(command.stdout(Stdio::null()).stderr(Stdio::null()));
+        drop(connect(address).await);
+        // They come faster than places are given up, and stand in front of those that have something to say.
+        let mut idle = Vec::new();
+        for _ in 0..IDLE {
+            idle.push(TcpStream::connect(address).await.expect("connected"));
+        }
+        let mut sent = BTreeMap::new();
+        for number in 0..20 {
+            let id = format!("{number:016}");
+            let mut client = connect(address).await;
+            client.send(&named(&id)).await;
+            sent.insert(id, Instant::now());
+            // Some leave at once.
+            if number % 4 == 3 {
+                continue;
+            }
+            assert_eq!(client.message().await.expect("an answer").status(), 200, "request {number}");
+            for _ in 0..20 {
+                idle.push(TcpStream::connect(address).await.expect("connected"));
+            }
+        }
+        for (id, &(at, told)) in seen.borrow().iter() {
+            let waited = (at - sent[id]).as_millis();
+            assert!(told + waited <= BUDGET + SLACK, "told {told} ms after {waited} ms");
+        }
+        // The crowd stays; discovery comes back, and names another host alone.
+        assert!(descriptors(&child) <= SOCKETS);
+        let listener = TcpListener::bind(discovery).await.expect("the address is free");
+        let (mut watch, _) = listener.accept().await.expect("discovery is reached");
+        let (other, others) = noting().await;
+        let whole = list(50, true, &[entry("s-9", other, "Ready")]);
+        watch.write_all(format!("{WATCH}{}", chunk(&whole)).as_bytes()).await.expect("written");
+        let mut rounds = 0;
+        while others.borrow().is_empty() {
+            rounds += 1;
+            let mut client = connect(address).await;
+            client.send(&named(&format!("{:016}", 1_000 + rounds))).await;
+            assert_eq!(client.message().await.expect("an answer").status(), 200);
+        }
+        // Nobody comes and nobody goes: nothing is to be done.
+        let before = used(&child);
+        sleep(Duration::from_secs(2)).await;
+        let ticks = used(&child) - before;
+        assert!(ticks <= 40, "{ticks} hundredths of a second of processor time in two idle seconds");
+        assert!(child.try_wait().expect("it can be waited for").is_none(), "it has ended");
+        drop(idle);
+    });
+}
