Refuse settings that cannot work, by file, key, reason and remedy

Cause: a configuration with no classes, no attempt allowed or a deadline of 0 was taken, and then no request could be served. Change: config/check.rs; each error is typed and names key, reason and what to set. Config becomes a folder.

--- a/proxy/src/config.rs
+++ b/proxy/src/config/mod.rs
@@ -1,5 +1,9 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
+mod check;
+
+pub use check::Unworkable;
+
 use flaxhead_engine::List;
 use flaxhead_policy::Settings;
 use flaxhead_settings::Unreadable;
@@ -33,6 +37,9 @@
     /// The settings of connections are of another kind.
     #[error("settings: {0}")]
     Connections(serde_json::Error),
+    /// They can be read, and no request could be served with them.
+    #[error(transparent)]
+    Unworkable(#[from] Unworkable),
     /// Nothing would be left for connections.
     #[error("limits: {0} sockets are too few; at least {least} are needed", least = 2 * SPARE_DESCRIPTORS)]
     Sockets(usize),
@@ -147,7 +154,7 @@
         if file.limits.sockets < 2 * SPARE_DESCRIPTORS {
             return Err(Problem::Sockets(file.limits.sockets));
         }
-        Ok(Config {
+        let config = Config {
             name: file.name,
             listen: file.listen,
             discovery: file.discovery,
@@ -160,7 +167,15 @@
             connect_timeout: Duration::from_micros(site.connect_timeout_us),
             conn_idle: Duration::from_micros(site.conn_idle_us),
             side_descriptors: 0,
-        })
+        };
+        config.check()?;
+        Ok(config)
+    }
+
+    /// The longest time that a client waits for an answer.
+    pub fn longest_deadline(&self) -> Duration {
+        let deadlines = self.settings.classes.iter().map(|class| class.deadline);
+        Duration::from_micros(deadlines.max().unwrap_or_default())
     }
 
     /// Most connections to clients, and as many to hosts.
