Answer all that is open before a stop ends the process

Ruled out: connections between requests (stop.rs's clients lose nothing), the listener's queue. At fault: front/mod.rs, serve: after STOP_DELAY and STOP_MOST, 3.5 s, the process ended over whatever was open. Change: 0.55 s after the longest deadline, which counts as 3 s at most, all that is open is answered (refused where nothing can have run, else failed), what becomes whole after that is refused, and 0.1 s is left for the answers.

--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -20,14 +20,19 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
 const STOP_DELAY: Duration = Duration::from_millis(500);
-/// How long open requests are waited for after that: the longest deadline.
-const STOP_MOST: Duration = Duration::from_secs(3);
+/// The process may be killed once the longest deadline, and this at the most, and 0.7 s have passed since the order to
+/// stop.
+const STOP_DEADLINE_MOST: Duration = Duration::from_secs(3);
+/// How long after the longest deadline what is still open is answered, so that the answers are out before that.
+const STOP_ANSWERS: Duration = Duration::from_millis(550);
+/// Time for those answers.
+const STOP_FLUSH: Duration = Duration::from_millis(100);
 /// How long another connection that the machine has accepted is looked for: any time at all lets the system tell of it.
 const STOP_ACCEPT: Duration = Duration::from_millis(1);
 
@@ -60,15 +65,19 @@
     stop: impl Future<Output = ()>,
 ) {
     let access = access.map(Rc::new);
+    let longest = driver.config.longest_deadline().min(STOP_DEADLINE_MOST);
+    let engine = driver.engine.clone();
     let mut clients = Clients { driver, access, stage: watch::Sender::new(Stage::Serving), open: Vec::new() };
     let mut stop = pin!(async {
         stop.await;
+        let told = Instant::now();
         sleep(STOP_DELAY).await;
+        told
     });
-    loop {
+    let told = loop {
         tokio::select! {
             () = clients.room() => {}
-            () = &mut stop => break,
+            told = &mut stop => break told,
         }
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -78,9 +87,9 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            () = &mut stop => break,
+            told = &mut stop => break told,
         }
-    }
+    };
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.has_room() {
         let Ok(Ok((stream, peer))) = timeout(STOP_ACCEPT, listener.accept()).await else { break };
@@ -88,6 +97,11 @@
     }
     drop(listener);
     clients.stage.send_replace(Stage::Closing);
-    // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
-    let _ = timeout(STOP_MOST, clients.ended()).await;
+    // Nothing that was taken goes without an answer, also where its client would wait for longer than the process lives.
+    if timeout_at(told + longest + STOP_ANSWERS, clients.ended()).await.is_err() {
+        clients.stage.send_replace(Stage::Answered);
+        engine.answer_all();
+        // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
+        let _ = timeout(STOP_FLUSH, clients.ended()).await;
+    }
 }
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -55,7 +55,7 @@
         let mut child = Running::start(&mut program(&config, "good.json").0);
         let mut client = connect(address).await;
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
-        // Its time is longer than a stop may take: it is dropped, in order.
+        // Its time is longer than a stop may take: it is answered before the end (tests/stop.rs).
         let mut stuck = connect(address).await;
         stuck.send(&request("unsafe", "", "")).await;
         eventually("the host has it", || host.count() == 2).await;
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -179,5 +179,8 @@
         assert!(end.is_ok(), "reset: {end:?}");
         assert_eq!(host.count(), 1);
         proxy.task.await.expect("it ends without a panic");
+        // Now that all is closed: a reset that followed the end would stand here.
+        let reset = client.stream.take_error().expect("asked");
+        assert!(reset.is_none(), "{reset:?}");
     });
 }
