--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -156,6 +156,31 @@
     });
 }
 
+/// A request whose client would wait for longer than the process may live is answered before it ends.
+#[test]
+fn a_request_that_outlasts_the_stop_is_answered() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let discovery = Discovery::quiet().await;
+        let address = free_address();
+        let config = configuration_at(address, discovery.address, std::slice::from_ref(&host));
+        let mut child = Running::start(&mut program(&config, "outlasts.json").0);
+        let mut clients = Vec::new();
+        for class in ["unsafe", "keyed", "free"] {
+            let mut client = connect(address).await;
+            client.send(&request(class, "Idempotency-Key: 5c0f\r\n", "")).await;
+            clients.push(client);
+        }
+        eventually("the host has them", || host.count() == 3).await;
+        tell(&child, "-TERM");
+        for client in &mut clients {
+            let answer = client.message().await.expect("an answer, and no close without one");
+            assert_eq!(answer.status(), 502, "it may have run");
+        }
+        assert_eq!(exit_code(&mut child).await, Some(0));
+    });
+}
+
 /// What a client has sent behind its request is not read any more at a stop, and must not take the answer along: a close
 /// over unread bytes would reset the connection.
 #[test]
