Ask a kept connection itself before a request's first byte

Seen by reading: what had come on an idle connection, a second answer, half a line or its end, is known to the event loop only when that is next looked at; a request written in between took the stray answer for its own, or met a reset, so that a send failed for nothing. Ruled out: bytes that the loop has told of (the library closes such a connection). At fault: http/exchange.rs, Metered::poll_write. Change: before an attempt's first byte the socket is peeked at; anything there, and the attempt goes out on another connection as one that never ran.

--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -9,8 +9,10 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -139,6 +141,13 @@
     }
 }
 
+/// Whether nothing stands to be read on a connection, neither bytes nor its end, by the system's word of this moment. A
+/// connection that is broken shows when it is written to.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(stream).peek(&mut byte).is_err()
+}
+
 /// A stream that counts what is written to it.
 struct Metered {
     io: TokioIo<TcpStream>,
@@ -166,6 +175,11 @@
         if meter.is_withdrawn() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
+        // What has come before the first byte of a request is no answer to it, and the event queue may not have told
+        // of it yet: the attempt counts as one that never ran, and goes out on another connection.
+        if meter.get() == 0 && !is_quiet(self.io.inner()) {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = Pin::new(&mut self.io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
             meter.set(meter.get() + count);
