Ask discovery again in time whatever calls failed, and keep slow calls waiting

Seen: told.rs on the program as it was: with calls that were reset, refused, ended, torn or never answered, 26 to 37 of 40 proxies that ask had not been told 6 s after discovery could be reached. Proxies that restart without a list were not ready in 100 s where discovery answers after 4 s. Ruled out: pushed lists after failures (asked again within 0.2 s, or beside a call that waits). At fault: policy/balance/list.rs, members (pauses of 9 to 108 s for a fleet of 300, and starts spread over 9 s); discovery/watch.rs, follow (5 s for the connection and 5 s more for the answer; each call given up for the next). Change: calls begin at most 5 s apart, 3 s after the break of a watch that was open; a slow call waits on beside up to two others, and the first answer counts (asks.rs).

--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod asks;
 mod error;
 mod objects;
 mod pace;
--- a/discovery/src/pace.rs
+++ b/discovery/src/pace.rs
@@ -11,8 +11,10 @@
 /// whose watches fall silent together draw over all of it.
 const SILENT_LEAST: Duration = Duration::from_millis(3_200);
 const SILENT_SPREAD: Duration = Duration::from_millis(2_200);
-/// Time for a connection and the head of its answer, where discovery is shared.
-const ANSWER: Duration = Duration::from_secs(5);
+/// After so long without an answer there is another call beside the one that waits, where discovery is shared; and where
+/// a watch fell silent before, which has used up a part of the time after which the list counts as told.
+const ANSWER: Duration = Duration::from_secs(4);
+const ANSWER_AFTER_SILENCE: Duration = Duration::from_secs(2);
 /// The same for an agent, which answers at once or is silent: doubled with each failure in a row, so that one on a
 /// machine that stands still is not asked for ever without being waited for.
 const AGENT_ANSWER: Duration = Duration::from_millis(500);
@@ -45,6 +47,7 @@
     /// How long the next answer is waited for.
     pub fn answer(&self) -> Duration {
         match self.keeper {
+            Keeper::Common if self.failures > 0 => ANSWER_AFTER_SILENCE,
             Keeper::Common => ANSWER,
             Keeper::Agent => AGENT_ANSWER * (1 << self.failures.min(AGENT_ANSWER_DOUBLINGS)),
         }
@@ -66,8 +69,10 @@
         match (self.keeper, error) {
             // Waiting was the pause. Discovery that is silent again does not bear a second ask beside all others'.
             (_, WatchError::Silent(_)) if self.failures == 1 => Some(Duration::ZERO),
+            // Waiting was the pause here too, and goes on beside the next call.
+            (_, WatchError::Unanswered(_)) => Some(Duration::ZERO),
             (Keeper::Common, _) => None,
-            (Keeper::Agent, WatchError::Silent(_) | WatchError::Unanswered(_)) => Some(Duration::ZERO),
+            (Keeper::Agent, WatchError::Silent(_)) => Some(Duration::ZERO),
             (Keeper::Agent, _) => {
                 let all = AGENT_PAUSE * (1 << (self.failures - 1).min(AGENT_PAUSE_DOUBLINGS));
                 Some(all / 2 + self.part(all / 2))
@@ -103,5 +108,6 @@
             common.heard();
         }
         assert_eq!(common.after(&WatchError::Ended), None);
+        assert_eq!(common.after(&WatchError::Unanswered(ANSWER)), Some(Duration::ZERO));
     }
 }
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -66,7 +66,7 @@
             self.drain_hold(now, actions);
         }
         if now >= self.ask_at {
-            self.ask_at = Micros::MAX;
+            (self.ask_at, self.asked_at) = (Micros::MAX, now);
             actions.push(Action::Subscribe);
         }
         self.set_timer(now, actions);
--- a/policy/src/balance/balancer.rs
+++ b/policy/src/balance/balancer.rs
@@ -35,6 +35,8 @@
     pub(super) served: u64,
     pub(super) timer_at: Micros,
     pub(super) ask_at: Micros,
+    /// When discovery was last asked.
+    pub(super) asked_at: Micros,
     pub(super) ask_failures: u32,
     /// When cold servers last earned turns.
     pub(super) earned_at: Micros,
@@ -67,6 +69,7 @@
             served: 0,
             timer_at: Micros::MAX,
             ask_at: Micros::MAX,
+            asked_at: 0,
             ask_failures: 0,
             earned_at: 0,
             warm_from: 0,
--- a/policy/src/balance/figures.rs
+++ b/policy/src/balance/figures.rs
@@ -73,6 +73,10 @@
 pub(super) const BESIDE_MOST: f64 = 2.5;
 /// Doublings of the pause after which a lost subscription is asked for again.
 pub(super) const ASK_DOUBLINGS: u32 = 3;
+/// Discovery's word counts as told 6 s after it could be reached, whatever calls failed. Calls begin this far
+/// apart at the most, so that an answer still fits in, and so long after the break of a watch that was open.
+pub(super) const ASK_APART: Micros = 5_000_000;
+pub(super) const ASK_BROKEN: Micros = 3_000_000;
 /// Time that discovery is left for each balancer where all of them may ask at once.
 pub(super) const ASK_EACH: Micros = 30_000;
 /// Part of the aim within which a thin balancer's own zone must be expected to answer, to be kept to: it is
--- a/policy/src/balance/list.rs
+++ b/policy/src/balance/list.rs
@@ -4,7 +4,7 @@
 
 /// Time over which balancers that lose the list together ask for it again.
 fn ask_spread(settings: &Settings) -> Micros {
-    ASK_EACH * Micros::from(settings.balancers.saturating_sub(1))
+    (ASK_EACH * Micros::from(settings.balancers.saturating_sub(1))).min(ASK_APART)
 }
 
 impl Balancer {
@@ -16,16 +16,27 @@
         }
     }
 
+    /// How long discovery is left alone after a call that failed, or a watch that broke. Jitter keeps those
+    /// that lost the list together from asking together again; discovery has so much to do for each that
+    /// longer pauses let it come to all, but none so long that a change counts as told before it is asked for.
+    fn ask_pause(&mut self, now: Micros) -> Micros {
+        let first = (self.settings.rules.ask_every / 32).max(ask_spread(&self.settings));
+        let wait = first << self.ask_failures.min(ASK_DOUBLINGS);
+        let drawn = wait / 2 + self.below(wait);
+        let since_asked = now.saturating_sub(self.asked_at);
+        let most = if since_asked < ASK_APART { ASK_APART - since_asked } else { ASK_BROKEN };
+        if drawn > most {
+            return most - self.below(most * 3 / 5);
+        }
+        drawn
+    }
+
     pub(super) fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            // Jitter keeps balancers that lost the list together from asking together again; what they ask of
-            // has so much to do for each that only ever longer pauses let it come to all.
-            let first = (self.settings.rules.ask_every / 32).max(ask_spread(&self.settings));
-            let wait = first << self.ask_failures.min(ASK_DOUBLINGS);
-            self.ask_failures += 1;
             if self.settings.ask {
-                self.ask_at = now + wait / 2 + self.below(wait);
+                self.ask_at = now + self.ask_pause(now);
             }
+            self.ask_failures += 1;
             return;
         }
         self.ask_failures *= u32::from(kind == ListKind::Cached);
--- /dev/null
+++ b/proxy/tests/told.rs
@@ -0,0 +1,139 @@
+//! Whatever calls to discovery failed before: what it has to tell is known 6 s after it could be reached.
+
+mod common;
+
+use common::*;
+use flaxhead_discovery::Discovery as Watched;
+use flaxhead_engine::{Engine, List, Setup};
+use flaxhead_policy::{Class, Repeat, Settings};
+use flaxhead_proxy::http::Http;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+/// The protocol's time, from the moment at which discovery has a change and can be reached.
+const TOLD: Duration = Duration::from_secs(6);
+/// Proxies of each kind that start here, of a fleet of three hundred.
+const PROXIES: u32 = 40;
+
+/// How discovery fails whoever asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// It says nothing, and never will on that connection.
+    Silent,
+    /// It resets the connection once it has been asked.
+    Reset,
+    /// It refuses with a status.
+    Status,
+    /// It ends the watch instead of telling.
+    Ended,
+    /// Half a list, and then the end.
+    Torn,
+}
+
+/// Discovery that fails all that ask, until it has been mended.
+#[derive(Clone)]
+struct Failing {
+    address: SocketAddr,
+    mended: Rc<Cell<bool>>,
+    asks: Rc<Cell<u32>>,
+    text: Rc<RefCell<String>>,
+}
+
+impl Failing {
+    async fn start(failure: Failure) -> Failing {
+        let listener = TcpListener::bind((own(), 0)).await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let failing = Failing { address, mended: Rc::default(), asks: Rc::default(), text: Rc::default() };
+        let serving = failing.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let failing = serving.clone();
+                spawn_local(async move {
+                    let mut reader = Reader::new(stream);
+                    if reader.message().await.is_none() {
+                        return;
+                    }
+                    failing.asks.set(failing.asks.get() + 1);
+                    let list = chunk(&failing.text.borrow());
+                    let text = match failure {
+                        _ if failing.mended.get() => format!("{WATCH}{list}"),
+                        Failure::Reset => {
+                            let _ = reader.stream.set_zero_linger();
+                            return;
+                        }
+                        Failure::Status => "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned(),
+                        Failure::Ended => format!("{WATCH}0\r\n\r\n"),
+                        Failure::Torn => format!("{WATCH}{}", &list[..list.len() / 2]),
+                        Failure::Silent => String::new(),
+                    };
+                    let silent = text.is_empty();
+                    if reader.stream.write_all(text.as_bytes()).await.is_ok()
+                        && (silent || failing.mended.get())
+                    {
+                        // Until the asker gives up.
+                        let _ = reader.stream.read(&mut [0; 8]).await;
+                    }
+                });
+            }
+        });
+        failing
+    }
+}
+
+fn engine(me: u32, watched: Watched, ask: bool, old: &List) -> Engine<Http> {
+    let class =
+        Class { aim: 100_000, deadline: 2_000_000, worth: 1.0, late_value: 0.5, repeat: Repeat::Free };
+    let settings = Settings { classes: vec![class], balancers: 300, me, ask, ..Settings::default() };
+    let setup = Setup { seed: me.into(), settings, known: Some(old.clone()) };
+    let transport = Http::new(8, Duration::from_secs(1), Duration::from_secs(60));
+    Engine::start(setup, transport, Rc::new(watched), Vec::new(), None)
+}
+
+/// Proxies whose calls fail in one way; then discovery can be reached, and has a drain to tell.
+async fn told_after(failure: Failure, ask: bool) {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    let old = list(41, true, &[entry("old", nowhere, "Ready")]);
+    let old: List = serde_json::from_str(&old).expect("a list");
+    let discovery = Failing::start(failure).await;
+    *discovery.text.borrow_mut() = list(42, true, &[entry("new", nowhere, "Ready")]);
+    let watched = if ask { Watched::asked } else { Watched::pushed };
+    let engines: Vec<_> =
+        (0..PROXIES).map(|me| engine(me, watched(discovery.address, me.into()), ask, &old)).collect();
+    // Those which ask in turns have failed more than once by then, and back off.
+    let asks = discovery.asks.clone();
+    eventually("calls failed", || asks.get() >= 2 * PROXIES).await;
+    discovery.mended.set(true);
+    let reached = Instant::now();
+    let knows = |engine: &Engine<Http>| engine.view(|view| view.hosts().any(|host| host.name == "new"));
+    let (mut lag, tick) = (Duration::ZERO, Duration::from_millis(10));
+    while !engines.iter().all(knows) {
+        let due = Instant::now() + tick;
+        sleep(tick).await;
+        lag = lag.max(due.elapsed());
+        let late = engines.iter().filter(|engine| !knows(engine)).count();
+        let in_time = reached.elapsed() <= TOLD + 2 * lag;
+        assert!(in_time, "{failure:?}, asked {ask}: {late} have not been told, at a lag of {lag:?}");
+    }
+    println!("{failure:?}, asked {ask}: all told after {:?}", reached.elapsed());
+}
+
+#[test]
+fn a_change_is_known_in_time_whatever_calls_failed() {
+    run(async {
+        let failures = [Failure::Silent, Failure::Reset, Failure::Status, Failure::Ended, Failure::Torn];
+        let tests: Vec<_> = failures
+            .into_iter()
+            .flat_map(|failure| [(failure, true), (failure, false)])
+            .map(|(failure, ask)| spawn_local(told_after(failure, ask)))
+            .collect();
+        for test in tests {
+            test.await.expect("told in time");
+        }
+    });
+}
