Call the module's parts retry, constants and queue, and keep its lines short

Cause: again, figures and hold say nothing to a newcomer; a comment of list.rs was over the width that the tree test allows, so that test was red since it came in. Result: behaviour unchanged; policy and engine tests pass.

--- a/engine/src/engine/members.rs
+++ b/engine/src/engine/members.rs
@@ -102,7 +102,7 @@
         let mut entries = Vec::new();
         for seat in inner.hosts.values_mut().filter(|seat| seat.health == Health::Ready) {
             let ready = seat.is_open();
-            if std::mem::replace(&mut seat.told_ready, ready) != ready {
+            if std::mem::replace(&mut seat.announced_ready, ready) != ready {
                 let state = if ready { State::Ready } else { State::Draining };
                 entries.push(Entry { state, ..seat.entry });
             }
@@ -158,9 +158,9 @@
             server
         });
         let Host { dial, born_ms, health, .. } = *entry;
-        let (entry, told_ready, leave) = Default::default();
+        let (entry, announced_ready, leave) = Default::default();
         let seat =
-            self.hosts.entry(server).or_insert(Seat { dial, born_ms, health, entry, told_ready, leave });
+            self.hosts.entry(server).or_insert(Seat { dial, born_ms, health, entry, announced_ready, leave });
         let restarted = (seat.dial, seat.born_ms) != (dial, born_ms);
         (seat.dial, seat.born_ms, seat.health) = (dial, born_ms, health);
         if restarted {
@@ -175,8 +175,8 @@
         if let Some(seat) = hosts.get_mut(&entry.server) {
             seat.entry = entry;
             seat.leave.set(spared.get(name).copied());
-            seat.told_ready = seat.is_open();
-            if entry.state == State::Ready && !seat.told_ready {
+            seat.announced_ready = seat.is_open();
+            if entry.state == State::Ready && !seat.announced_ready {
                 entry.state = State::Draining;
             }
         }
--- a/engine/src/engine/seat.rs
+++ b/engine/src/engine/seat.rs
@@ -13,7 +13,7 @@
     pub health: Health,
     /// The list's entry, and whether the module was told that it takes calls.
     pub entry: Entry,
-    pub(super) told_ready: bool,
+    pub(super) announced_ready: bool,
     pub(super) leave: Leave,
 }
 
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -1,20 +1,20 @@
 //! All decisions of the balancer. Its interface (settings, events, actions) is `src/api.rs`; the mechanism
 //! and the condition of each departure from it are in `docs/design.md`.
 //!
-//! A call goes to the less-loaded of two random servers under their in-flight budgets, waits in the hold when
-//! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
+//! A call goes to the less-loaded of two random servers under their in-flight budgets, waits in the queue
+//! when all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
-mod again;
 mod balancer;
 mod budget;
 mod calls;
 mod cold;
-mod figures;
-mod hold;
+mod constants;
 mod learn;
 mod list;
 mod pick;
+mod queue;
 mod restore;
+mod retry;
 mod server;
 mod times;
 mod trials;
@@ -28,7 +28,7 @@
     /// Takes one event at time `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         // A call that comes behind others changes nothing for them; in overload most do.
-        let stands = matches!(event, Event::Request { .. }) && !self.hold.is_empty();
+        let stands = matches!(event, Event::Request { .. }) && !self.queue.is_empty();
         match event {
             Event::Start => self.started(now),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
@@ -63,7 +63,7 @@
         }
         self.wake_calls(now, actions);
         if !stands {
-            self.drain_hold(now, actions);
+            self.drain_queue(now, actions);
         }
         if now >= self.ask_at {
             (self.ask_at, self.asked_at) = (Micros::MAX, now);
@@ -77,8 +77,8 @@
         if closed || outcome == Outcome::Served {
             self.end(id);
             self.cancel_others(id, None, actions);
-        } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
-            self.again(now, id, outcome, actions);
+        } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.queued && c.out() == 0) {
+            self.retry(now, id, outcome, actions);
         }
         self.forget(id);
     }
@@ -86,8 +86,8 @@
     /// One timer for everything that is due by time alone.
     fn set_timer(&mut self, now: Micros, actions: &mut Actions) {
         let mut next = self.ask_at.min(self.wakes.first().map_or(Micros::MAX, |w| w.0));
-        if !self.hold.is_empty() {
-            // Budgets, backoffs and pauses end at no event: held calls are looked at now and then.
+        if !self.queue.is_empty() {
+            // Budgets, backoffs and pauses end at no event: queued calls are looked at now and then.
             next = next.min(now + self.settings.tick.max(self.first_backoff() / 8));
         }
         if next < self.timer_at {
--- a/policy/src/balance/balancer.rs
+++ b/policy/src/balance/balancer.rs
@@ -1,6 +1,6 @@
 //! What a balancer knows, and the figures that follow from it.
 
-pub(super) use super::{figures::*, server::Server, windows::*};
+pub(super) use super::{constants::*, server::Server, windows::*};
 pub(super) use crate::{api::*, state::*};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -24,7 +24,7 @@
     /// Answer times of each model beside those of all, without the way there.
     pub(super) models: BTreeMap<ModelId, Model>,
     pub(super) calls: BTreeMap<CallId, Call>,
-    pub(super) hold: VecDeque<CallId>,
+    pub(super) queue: VecDeque<CallId>,
     pub(super) wakes: BTreeSet<(Micros, CallId)>,
     pub(super) paces: Vec<Pace>,
     pub(super) tenants: Vec<f64>,
@@ -60,7 +60,7 @@
             ways: BTreeMap::new(),
             models: BTreeMap::new(),
             calls: BTreeMap::new(),
-            hold: VecDeque::new(),
+            queue: VecDeque::new(),
             wakes: BTreeSet::new(),
             retries: RETRY_SAVED,
             listed: 0,
--- a/policy/src/balance/budget.rs
+++ b/policy/src/balance/budget.rs
@@ -1,6 +1,6 @@
 //! How much a server may have in flight, and how that grows and is cut.
 
-use super::figures::*;
+use super::constants::*;
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
 
--- a/policy/src/balance/calls.rs
+++ b/policy/src/balance/calls.rs
@@ -105,9 +105,9 @@
         self.set_wake(id, 0);
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.ended = true;
-        if std::mem::take(&mut call.held) {
-            if let Some(index) = self.hold.iter().position(|&held| held == id) {
-                self.hold.remove(index);
+        if std::mem::take(&mut call.queued) {
+            if let Some(index) = self.queue.iter().position(|&queued| queued == id) {
+                self.queue.remove(index);
             }
         }
     }
--- a/policy/src/balance/figures.rs
+++ b/policy/src/balance/constants.rs
@@ -34,14 +34,14 @@
 /// First backoff as a share of the longest aim, and the number of doublings up to its cap.
 pub(super) const BACKOFF_AIM: f64 = 0.25;
 pub(super) const BACKOFF_DOUBLINGS: u32 = 4;
-/// Wait in the hold beyond which new calls are refused, as a share of their aim.
+/// Wait in the queue beyond which new calls are refused, as a share of their aim.
 pub(super) const WAIT_AIM: f64 = 0.1;
 /// Usual answer times that must be left before the aim: for a second copy, and for a protected call to wait.
 pub(super) const SPARE_TIMES: f64 = 2.0;
 /// Further attempts and second copies that each call earns, and the most that may be saved up.
 pub(super) const RETRY_EARNED: f64 = 0.2;
 pub(super) const RETRY_SAVED: f64 = 20.0;
-/// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
+/// Queued calls looked at beyond the first, at an event: it bounds the CPU that a long queue costs.
 pub(super) const LOOK_PAST: usize = 16;
 /// Calls to a cold server whose answers this balancer sees to be in time, as times its least part: it warms
 /// up sooner the more it works, and 2.5 times is what the rules let it be sent.
--- a/policy/src/balance/list.rs
+++ b/policy/src/balance/list.rs
@@ -17,8 +17,8 @@
     }
 
     /// How long discovery is left alone after a call that failed, or a watch that broke. Jitter keeps those
-    /// that lost the list together from asking together again; discovery has so much to do for each that
-    /// longer pauses let it come to all, but none so long that a change counts as told before it is asked for.
+    /// that lost the list together from asking together again. Discovery has so much to do for each that
+    /// longer pauses let it come to all, but in none does a change count as told before it is asked for.
     fn ask_pause(&mut self, now: Micros) -> Micros {
         let first = (self.settings.rules.ask_every / 32).max(ask_spread(&self.settings));
         let wait = first << self.ask_failures.min(ASK_DOUBLINGS);
--- a/policy/src/balance/pick.rs
+++ b/policy/src/balance/pick.rs
@@ -31,7 +31,7 @@
 }
 
 impl Balancer {
-    /// Send, hold or refuse?
+    /// Send, queue or refuse?
     pub(super) fn route(&mut self, now: Micros, id: CallId) -> Route {
         let call = &self.calls[&id];
         let usual = self.usual(call.class_id, call.class.aim);
@@ -56,16 +56,16 @@
         match (self.two_choices(now, usual, &room), self.two_choices(now, usual, &trials)) {
             (Some(server), _) => Route::Send { server, trial: Trial::No },
             (None, Some(server)) => Route::Send { server, trial: Trial::Server },
-            (None, None) => self.hold_or_refuse(now),
+            (None, None) => self.queue_or_refuse(now),
         }
     }
 
     /// With no server up there is nothing to wait for until the first comes back.
-    fn hold_or_refuse(&self, now: Micros) -> Route {
+    fn queue_or_refuse(&self, now: Micros) -> Route {
         let all = self.servers.iter().filter(|s| s.listed);
         let down = all.clone().all(|s| s.budget.steps == 0);
         let first = all.map(|s| s.budget.backoff_end).min().filter(|_| down);
-        first.map_or(Route::Hold, |at| Route::Refuse {
+        first.map_or(Route::Queue, |at| Route::Refuse {
             retry_after: at.saturating_sub(now).max(self.first_backoff()),
         })
     }
--- a/policy/src/balance/hold.rs
+++ b/policy/src/balance/queue.rs
@@ -3,10 +3,10 @@
 use super::{balancer::*, times::shown_for};
 
 impl Balancer {
-    /// Lets a new call join the hold, unless it would wait too long there.
+    /// Lets a new call join the queue, unless it would wait too long there.
     pub(super) fn admit(&mut self, now: Micros, id: CallId, tenant: Option<TenantId>, actions: &mut Actions) {
         let over_share = tenant.is_some_and(|t| self.over_share(t));
-        let waited = self.hold.front().map_or(0, |head| now.saturating_sub(self.calls[head].arrived));
+        let waited = self.queue.front().map_or(0, |head| now.saturating_sub(self.calls[head].arrived));
         // Not even a usual answer would come before its client gives up: it would only add to the work.
         // A guess or old news is not held against it.
         let call = &self.calls[&id];
@@ -22,7 +22,7 @@
         }
     }
 
-    /// How long may the hold's head have waited for this call to join? Without a bound all would be served
+    /// How long may the queue's head have waited for this call to join? Without a bound all would be served
     /// late. Classes whose worth for their work outweighs the goal's part of the worst class wait longest.
     fn wait_limit(&self, id: CallId, over_share: bool) -> Micros {
         let call = &self.calls[&id];
@@ -56,33 +56,33 @@
         self.tenants[tenant.0] > all * share * 1.1
     }
 
-    /// Puts a call into the hold; one that goes again is older than those waiting and goes to the front.
-    pub(super) fn enqueue(&mut self, now: Micros, id: CallId, again: bool) {
+    /// Puts a call into the queue; one that goes again is older than those waiting and goes to the front.
+    pub(super) fn enqueue(&mut self, now: Micros, id: CallId, retried: bool) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.held = true;
+        call.queued = true;
         // Its way out: when a usual answer could not come in time, and always before the client gives up.
         let (class_id, aim, last) =
             (call.class_id, call.class.aim, call.deadline.saturating_sub(self.settings.tick));
         let wake = call.aim_at().saturating_sub(self.usual(class_id, aim) as Micros).max(now + 1);
         self.set_wake(id, wake.min(last.max(now)).max(1));
-        self.hold.insert(if again { 0 } else { self.hold.len() }, id);
+        self.queue.insert(if retried { 0 } else { self.queue.len() }, id);
     }
 
-    pub(super) fn drain_hold(&mut self, now: Micros, actions: &mut Actions) {
-        let returning = if self.aside > 0 && !self.hold.is_empty() { self.servers.len() } else { 0 };
+    pub(super) fn drain_queue(&mut self, now: Micros, actions: &mut Actions) {
+        let returning = if self.aside > 0 && !self.queue.is_empty() { self.servers.len() } else { 0 };
         for place in 0..returning {
             if self.servers[place].returning(now, self.served, &self.settings.rules) {
                 // Only a call that never went: a bound one may go to some servers alone.
-                let mut held = self.hold.iter().take(LOOK_PAST);
-                if let Some(index) = held.position(|id| self.calls[id].attempts.is_empty()) {
-                    let id = self.hold[index];
+                let mut queued = self.queue.iter().take(LOOK_PAST);
+                if let Some(index) = queued.position(|id| self.calls[id].attempts.is_empty()) {
+                    let id = self.queue[index];
                     self.take(index);
                     self.send(now, id, place, Trial::Server, actions);
                 }
             }
         }
         let mut index = 0;
-        while let Some(&id) = self.hold.get(index) {
+        while let Some(&id) = self.queue.get(index) {
             match self.route(now, id) {
                 Route::Send { server, trial } => {
                     self.take(index);
@@ -90,15 +90,15 @@
                 }
                 Route::Refuse { retry_after } => self.give_up(id, retry_after, actions),
                 // Arrival order: the first that stays keeps the rest, unless bound to some servers.
-                Route::Hold if self.calls[&id].binding().is_some() && index < LOOK_PAST => index += 1,
-                Route::Hold => break,
+                Route::Queue if self.calls[&id].binding().is_some() && index < LOOK_PAST => index += 1,
+                Route::Queue => break,
             }
         }
     }
 
     fn take(&mut self, index: usize) {
-        if let Some(call) = self.hold.remove(index).and_then(|id| self.calls.get_mut(&id)) {
-            call.held = false;
+        if let Some(call) = self.queue.remove(index).and_then(|id| self.calls.get_mut(&id)) {
+            call.queued = false;
         }
     }
 }
--- a/policy/src/balance/restore.rs
+++ b/policy/src/balance/restore.rs
@@ -27,7 +27,7 @@
     /// The servers do not stand in the order of their numbers.
     #[error("the servers are out of order")]
     Order,
-    /// A call is held or woken that does not wait, or the other way about.
+    /// A call is queued or woken that does not wait, or the other way about.
     #[error("the calls and those that wait are not the same")]
     Calls,
     /// Servers listed or set aside are not as many as it says.
@@ -69,14 +69,14 @@
         if !self.servers.is_sorted_by(|a, b| a.id < b.id) {
             return Err(Unfit::Order);
         }
-        let held: BTreeSet<CallId> = self.hold.iter().copied().collect();
+        let queued: BTreeSet<CallId> = self.queue.iter().copied().collect();
         let waiting = |(id, call): (&CallId, &Call)| {
             let wakes = call.wake == 0 || self.wakes.contains(&(call.wake, *id));
-            wakes && call.held == held.contains(id) && !(call.held && call.ended)
+            wakes && call.queued == queued.contains(id) && !(call.queued && call.ended)
         };
         let wakes = self.calls.values().filter(|call| call.wake != 0).count();
-        let known = held.iter().all(|id| self.calls.contains_key(id));
-        let once = held.len() == self.hold.len() && wakes == self.wakes.len();
+        let known = queued.iter().all(|id| self.calls.contains_key(id));
+        let once = queued.len() == self.queue.len() && wakes == self.wakes.len();
         if !once || !known || !self.calls.iter().all(waiting) {
             return Err(Unfit::Calls);
         }
--- a/policy/src/balance/again.rs
+++ b/policy/src/balance/retry.rs
@@ -4,7 +4,7 @@
 
 impl Balancer {
     /// After an attempt that did not serve: again, or the end.
-    pub(super) fn again(&mut self, now: Micros, id: CallId, outcome: Outcome, actions: &mut Actions) {
+    pub(super) fn retry(&mut self, now: Micros, id: CallId, outcome: Outcome, actions: &mut Actions) {
         let call = &self.calls[&id];
         let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
         let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
@@ -20,7 +20,7 @@
     pub(super) fn wake_calls(&mut self, now: Micros, actions: &mut Actions) {
         while let Some(&(_, id)) = self.wakes.first().filter(|wake| wake.0 <= now) {
             self.set_wake(id, 0);
-            if self.calls[&id].held {
+            if self.calls[&id].queued {
                 self.give_up(id, now.saturating_sub(self.calls[&id].arrived), actions);
             } else {
                 self.second_copy(now, id, actions);
@@ -38,7 +38,7 @@
                 && call.may_go(now, s, tick)
                 && call.untried(s.id)
         };
-        let spare = self.retries >= 1.0 && self.hold.is_empty();
+        let spare = self.retries >= 1.0 && self.queue.is_empty();
         if !more || !spare || !self.servers.iter().any(some) {
             return;
         }
--- a/policy/src/balance/server.rs
+++ b/policy/src/balance/server.rs
@@ -1,6 +1,6 @@
 //! A server as this balancer sees it, and when it may be sent to.
 
-use super::{budget::Budget, figures::*, times::*};
+use super::{budget::Budget, constants::*, times::*};
 use crate::api::*;
 use crate::state::Way;
 use serde::{Deserialize, Serialize};
--- a/policy/src/balance/times.rs
+++ b/policy/src/balance/times.rs
@@ -1,6 +1,6 @@
 //! What answer times tell of a zone's way, a model of server and a class.
 
-use super::figures::*;
+use super::constants::*;
 use crate::api::Micros;
 use crate::state::{Model, Pace, Way};
 
--- a/policy/src/balance/windows.rs
+++ b/policy/src/balance/windows.rs
@@ -1,6 +1,6 @@
 //! To how many servers a balancer's calls go.
 
-use super::{budget::Budget, figures::*};
+use super::{budget::Budget, constants::*};
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
 
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -32,7 +32,7 @@
     pub(crate) arrived: Micros,
     pub(crate) deadline: Micros,
     pub(crate) attempts: Vec<Attempt>,
-    pub(crate) held: bool,
+    pub(crate) queued: bool,
     pub(crate) ended: bool,
     /// When the call is looked at next; 0: not by time.
     pub(crate) wake: Micros,
@@ -82,6 +82,6 @@
 /// Where a call goes.
 pub(crate) enum Route {
     Send { server: usize, trial: Trial },
-    Hold,
+    Queue,
     Refuse { retry_after: Micros },
 }
