Take how much more a cold host may be sent from the settings

Cause: half as much again beyond a cold host's least part was fitted to a deployment where 2.5 times what it can do pushes one over; another may say 1.5. Change: settings' invariants.fall_multiple reaches the module; six tenths of it, and never over 1.5, is the part. Result: at 2.5 as before; rules.rs shows 1.5 and 9.

--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -113,6 +113,8 @@
     pub cold_time: Micros,
     /// Longest that a proxy may go without asking for the list.
     pub ask_every: Micros,
+    /// A cold server falls over that is sent more than this many times what it can do.
+    pub fall_multiple: f64,
 }
 
 /// Weights of the parts of the goal.
@@ -167,7 +169,12 @@
                 max_attempts: 3,
                 max_retry_after: 1_000_000,
             },
-            rules: Rules { cold_share: 0.1, cold_time: 20_000_000, ask_every: 10_000_000 },
+            rules: Rules {
+                cold_share: 0.1,
+                cold_time: 20_000_000,
+                ask_every: 10_000_000,
+                fall_multiple: 2.5,
+            },
             goal: Goal { whole: 1.0, worst_class: 0.0 },
             home: None,
         }
--- a/policy/src/balance/cold.rs
+++ b/policy/src/balance/cold.rs
@@ -21,13 +21,14 @@
         let all = answered.then(|| self.servers.iter().filter(|s| s.listed).map(can).sum::<f64>());
         let round = self.longest_aim() * f64::from(self.settings.balancers);
         let seldom = self.thin.is_some();
+        let seen = (rules.fall_multiple * COLD_SEEN_OF_FALL).clamp(1.0, COLD_SEEN);
         for server in self.servers.iter_mut().filter(|s| s.listed) {
             let warmth = server.warmth(now, rules);
             if warmth < 1.0 {
                 let part = all.map_or(0.0, |all| can(server) / all) + span * warmth / round;
                 // A thin balancer meets it too seldom to see in time that it is too much.
                 let in_time = !seldom && server.answered > 0 && server.strain <= 1.0;
-                let part = if in_time { part * COLD_SEEN } else { part };
+                let part = if in_time { part * seen } else { part };
                 // One that came late is made up for, one at the most: the part is kept on the mean.
                 server.turns = (server.turns + part).min(2.0);
             }
--- a/policy/src/balance/constants.rs
+++ b/policy/src/balance/constants.rs
@@ -44,7 +44,9 @@
 /// Queued calls looked at beyond the first, at an event: it bounds the CPU that a long queue costs.
 pub(super) const LOOK_PAST: usize = 16;
 /// Calls to a cold server whose answers this balancer sees to be in time, as times its least part: it warms
-/// up sooner the more it works, and 2.5 times is what the rules let it be sent.
+/// up sooner the more it works. No more than this part of the multiple that pushes it over, and never more
+/// than half as much again.
+pub(super) const COLD_SEEN_OF_FALL: f64 = 0.6;
 pub(super) const COLD_SEEN: f64 = 1.5;
 /// Parts of a turn that the first one of a cold server is drawn from.
 pub(super) const TURN_PARTS: u64 = 1 << 16;
--- a/policy/tests/random.rs
+++ b/policy/tests/random.rs
@@ -201,7 +201,7 @@
     odd.balancers = 0;
     odd.limits.max_attempts = 0;
     odd.tenants = vec![Tenant { share: 0.0 }];
-    odd.rules = Rules { cold_share: 0.0, cold_time: 0, ask_every: 0 };
+    odd.rules = Rules { cold_share: 0.0, cold_time: 0, ask_every: 0, fall_multiple: 0.0 };
     let empty = Settings { classes: vec![], ..odd.clone() };
     for settings in [odd, empty] {
         let mut proxy = Proxy::new(settings, 2);
--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -657,8 +657,9 @@
 }
 
 /// Calls of 800 that a server gets which stays cold beside four warm ones and answers after so long.
-fn calls_of_a_cold_server(balancers: u32, answers_after: Micros) -> usize {
-    let rules = Rules { cold_share: 0.25, cold_time: 1_000_000 * MS, ..Settings::default().rules };
+fn calls_of_a_cold_server(balancers: u32, answers_after: Micros, fall_multiple: f64) -> usize {
+    let rules =
+        Rules { cold_share: 0.25, cold_time: 1_000_000 * MS, fall_multiple, ..Settings::default().rules };
     let mut proxy = Proxy::new(Settings { balancers, rules, ..settings(Repeat::Free) }, 4);
     for _ in 0..40 {
         proxy.serve(20 * MS);
@@ -679,9 +680,17 @@
 #[test]
 fn a_cold_server_that_is_seen_to_answer_in_time_gets_half_as_much_again() {
     // A quarter warm beside four: one in seventeen, 47 of 800.
-    let (fast, slow) = (calls_of_a_cold_server(3, 20 * MS), calls_of_a_cold_server(3, 300 * MS));
+    let (fast, slow) = (calls_of_a_cold_server(3, 20 * MS, 2.5), calls_of_a_cold_server(3, 300 * MS, 2.5));
     assert!((64..=80).contains(&fast) && (40..=54).contains(&slow), "{fast} and {slow}");
     // One of hundreds meets it too seldom to see in time that it is too much.
-    let thin = calls_of_a_cold_server(300, 20 * MS);
+    let thin = calls_of_a_cold_server(300, 20 * MS, 2.5);
     assert!((40..=60).contains(&thin), "{thin}");
 }
+
+/// How much more a cold server may be sent is the settings' word: where little pushes one over, it gets its part alone.
+#[test]
+fn a_cold_server_gets_no_more_than_its_part_where_little_pushes_it_over() {
+    let (little, much) = (calls_of_a_cold_server(3, 20 * MS, 1.5), calls_of_a_cold_server(3, 20 * MS, 9.0));
+    assert!((40..=54).contains(&little), "{little}");
+    assert!((64..=80).contains(&much), "no more than half as much again: {much}");
+}
--- a/proxy/src/features/capture/form.rs
+++ b/proxy/src/features/capture/form.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 /// The form of the files.
-const FORMAT: u16 = 5;
+const FORMAT: u16 = 6;
 /// Bytes of the seed, and of a frame's length.
 pub(super) const SEED: usize = 8;
 pub(super) const LENGTH: usize = 3;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -77,6 +77,12 @@
     cold_us: u64,
     #[serde(default = "ask_every")]
     ask_every_us: u64,
+    #[serde(default = "fall_multiple")]
+    fall_multiple: f64,
+}
+
+fn fall_multiple() -> f64 {
+    Settings::default().rules.fall_multiple
 }
 
 fn ask_every() -> u64 {
@@ -149,7 +155,12 @@
             // Also where clients are said not to heed it: a refusal on sockets always says when to come back.
             max_retry_after: limits.max_retry_after_us,
         },
-        rules: Rules { cold_share: rules.cold_from, cold_time: rules.cold_us, ask_every: rules.ask_every_us },
+        rules: Rules {
+            cold_share: rules.cold_from,
+            cold_time: rules.cold_us,
+            ask_every: rules.ask_every_us,
+            fall_multiple: rules.fall_multiple,
+        },
         goal: Goal { whole: facts.result_mix.whole, worst_class: facts.result_mix.worst_class },
         home: facts.locality.as_deref().filter(|_| facts.charges.cross_zone > 0.0).map(zone),
     };
