--- a/proxy/tests/departed.rs
+++ b/proxy/tests/departed.rs
@@ -167,3 +167,32 @@
         assert!(told[1] + waited.as_millis() <= 8_000 + 5, "{told:?} after {waited:?}");
     });
 }
+
+/// A further attempt tells its host what the first has left of the client's time.
+#[test]
+fn what_a_further_attempt_tells_is_what_is_left() {
+    run(async {
+        let (first, second) =
+            (Host::start([Act::StallThen(turned())]).await, Host::start([ok("second")]).await);
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, from_ref(&first), long).await;
+        let mut client = proxy.client().await;
+        let sent = tokio::time::Instant::now();
+        client.send(&request("unsafe", "", "").replace("8000", "60000")).await;
+        eventually("the host has it, and the list is watched", || {
+            first.count() == 1 && discovery.asked.borrow().len() == 1
+        })
+        .await;
+        let hosts = [entry("s-0", first.address, "Ready"), entry("s-1", second.address, "Ready")];
+        discovery.push(&chunk(&list(42, false, &hosts))).await;
+        tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+        let waited = sent.elapsed().as_millis();
+        first.release.notify_one();
+        assert_eq!(client.message().await.expect("an answer").body, b"second");
+        let told = |host: &Host| -> u128 {
+            host.seen.borrow()[0].header("x-budget-ms").and_then(|ms| ms.parse().ok()).expect("a budget")
+        };
+        assert!(told(&first) <= 60_000);
+        assert!(told(&second) + waited <= 60_000, "{} after {waited}", told(&second));
+    });
+}
--- a/proxy/tests/told.rs
+++ b/proxy/tests/told.rs
@@ -137,3 +137,28 @@
         }
     });
 }
+
+/// SIGHUP moves discovery while a call to the old address waits, or between two that failed: the new one is asked at once,
+/// from the version in hand, and the old one no more.
+#[test]
+fn a_move_of_discovery_is_followed_at_once_whatever_its_watch_is_at() {
+    run(async {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let old = list(41, true, &[entry("old", nowhere, "Ready")]);
+        let old: List = serde_json::from_str(&old).expect("a list");
+        for failure in [Failure::Silent, Failure::Reset, Failure::Torn] {
+            for ask in [true, false] {
+                let watched = if ask { Watched::asked } else { Watched::pushed };
+                let (before, after) = (Failing::start(failure).await, Failing::start(failure).await);
+                *after.text.borrow_mut() = list(42, true, &[entry("new", nowhere, "Ready")]);
+                after.mended.set(true);
+                let engine = engine(0, watched(before.address, 7), ask, &old);
+                eventually("the old one is asked", || before.asks.get() >= 1).await;
+                engine.watch_at(Rc::new(watched(after.address, 7)));
+                let knows = || engine.view(|view| view.hosts().any(|host| host.name == "new"));
+                eventually("the new one is heard", knows).await;
+                assert_eq!(after.asks.get(), 1);
+            }
+        }
+    });
+}
