Share the open request that three tests of departures begin with

Cause: the same five lines stood in three tests. Change: open_request; the assertions are as they were. Result: departed.rs, 7 passed; fmt and clippy of it pass.

--- a/proxy/tests/departed.rs
+++ b/proxy/tests/departed.rs
@@ -21,16 +21,22 @@
     request(class, "", "").replace("8000", "90000")
 }
 
+/// A host that has one request of a client and does not answer it.
+async fn open_request() -> (Host, Proxy, Client) {
+    let host = Host::start([Act::Stall]).await;
+    let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), long).await;
+    let mut client = proxy.client().await;
+    client.send(&patient("unsafe")).await;
+    eventually("the host has it", || host.count() == 1).await;
+    (host, proxy, client)
+}
+
 /// The attempt of a client that closes is called off, also where bytes stand behind its request that nobody reads.
 #[test]
 fn a_client_that_sent_more_and_closed_ends_its_attempt() {
     run(async {
         for trail in TRAILS {
-            let host = Host::start([Act::Stall]).await;
-            let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), long).await;
-            let mut client = proxy.client().await;
-            client.send(&patient("unsafe")).await;
-            eventually("the host has it", || host.count() == 1).await;
+            let (host, _proxy, mut client) = open_request().await;
             client.send(trail).await;
             drop(client);
             eventually("the attempt's connection closes", || host.open.get() == 0).await;
@@ -42,11 +48,7 @@
 #[test]
 fn a_client_that_sent_pieces_and_closed_ends_its_attempt() {
     run(async {
-        let host = Host::start([Act::Stall]).await;
-        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), long).await;
-        let mut client = proxy.client().await;
-        client.send(&patient("unsafe")).await;
-        eventually("the host has it", || host.count() == 1).await;
+        let (host, proxy, mut client) = open_request().await;
         for piece in patient("unsafe").as_bytes().chunks(16) {
             client.send(std::str::from_utf8(piece).expect("text")).await;
             // An answer on another connection: the proxy has had its turn since.
@@ -62,11 +64,7 @@
 #[test]
 fn a_peer_that_sends_without_end_behind_its_request_is_closed() {
     run(async {
-        let host = Host::start([Act::Stall]).await;
-        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), long).await;
-        let mut client = proxy.client().await;
-        client.send(&patient("unsafe")).await;
-        eventually("the host has it", || host.count() == 1).await;
+        let (host, _proxy, mut client) = open_request().await;
         let much = "x".repeat(1 << 20);
         // It is cut off in the middle.
         let _ = tokio::io::AsyncWriteExt::write_all(&mut client.stream, much.as_bytes()).await;
