Strike a host's free stage only once its operators have seen it free

Seen: one whole run of the checks on a loaded machine was red in lab/tests/work.rs `all_proxies_killed_at_once_settle_nothing_before_they_are_told_what_is_out`: the second host was free before the first was done, with one out at a time all the same.

Cause: the lab, not the proxies. One thread strikes at the first look that shows the host as free, another is the operators, who look for themselves. Where the strike came first, all proxies forgot a host of which the operators had not heard either, so that they truthfully said that nothing was out.

Change: at the stage "free" a strike waits until the operators have seen it.

--- a/lab/src/turns/operators.rs
+++ b/lab/src/turns/operators.rs
@@ -109,13 +109,16 @@
         held(&self.told).iter().any(|told| told.end.is_none())
     }
 
-    /// The holder, where a strike's time has come: at the first look that finds its turn at that stage or past it.
+    /// The holder, where a strike's time has come: at the first look that finds its turn at that stage or past it. A host
+    /// is free once its operators have seen so: they say what is out after a strike that makes all proxies forget.
     fn reached(&self, strike: &Strike, views: &[(usize, View)]) -> Option<usize> {
         let node = self.work.turns.get(strike.turn)?.node;
         let (holder, view) = views.iter().find(|(_, view)| view.standing.holds)?;
         let place = |of: &str| STAGES.iter().position(|stage| *stage == of);
         let stage = match view.turns.iter().find(|row| row.host == host(node)) {
-            Some(row) if row.free && row.stage == Stage::Out => place("free"),
+            Some(row) if row.free && row.stage == Stage::Out => {
+                place(if held(&self.told)[strike.turn].free.is_some() { "free" } else { "out" })
+            }
             Some(row) => place(&row.stage.to_string()),
             // A turn that has ended is past all of them.
             None => held(&self.told)[strike.turn].end.as_ref().map(|_| STAGES.len()),
