Run the lab's short experiments in groups beside each other

The checks took 871 s with all built, of which two tests that play experiments one after the other took 136 and 150 s, most of it waiting. They are played in four groups and by four tests now, and a test of its own says that no short experiment was forgotten. The bound on requests stands for each experiment of shares, 1,500, where it stood for all four, 5,000.

--- a/lab/tests/runs.rs
+++ b/lab/tests/runs.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use flaxhead_lab::audit::Rule;
+use flaxhead_lab::experiment::Experiment;
 use flaxhead_lab::ledger::Ending;
 use flaxhead_lab::load::schedule::Schedule;
 use flaxhead_lab::load::sender::Mode;
@@ -135,40 +136,66 @@
     }
 }
 
-/// The experiments that come with the lab, but for those that take a minute.
+/// The short experiments that come with the lab, in groups that run beside each other. What comes back after a mass
+/// restart and what is shared are played in `returns.rs` and `shares.rs`.
+const OF_HOSTS: [&str; 5] = ["byte-breaks", "demo", "fast-errors", "node-crash", "zone-cut"];
+const OF_PROXIES: [&str; 5] = ["peers-loss", "peers-mass-kill", "proxies-die", "release", "rpc-outage"];
+const OF_CUT_WORK: [&str; 2] = ["work-cut", "work-holder-dies"];
+const OF_WORK: [&str; 2] = ["work-mass-kill", "work-order"];
+/// Seconds of an experiment that counts as short.
+const SHORT: f64 = 15.0;
+
+#[test]
+fn the_short_experiments_of_hosts_hold() {
+    hold(&OF_HOSTS);
+}
+
 #[test]
-fn the_short_experiments_hold() {
-    // What comes back after a mass restart and what is shared are played in `returns.rs` and `shares.rs`.
-    play_short(6, |name| !["work-", "return-", "shares-"].iter().any(|kind| name.starts_with(kind)));
+fn the_short_experiments_of_proxies_hold() {
+    hold(&OF_PROXIES);
+}
+
+/// Hosts taken out for work, with whoever holds the right to settle it cut off or killed; most of their time is waiting.
+#[test]
+fn the_short_experiments_of_work_whose_holder_fails_hold() {
+    hold(&OF_CUT_WORK);
 }
 
-/// Those in which hosts are taken out for work; most of their time is waiting.
 #[test]
 fn the_short_experiments_of_work_hold() {
-    play_short(4, |name| name.starts_with("work-"));
-}
-
-fn play_short(least: usize, wanted: impl Fn(&str) -> bool) {
-    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
-    let mut files: Vec<_> =
-        std::fs::read_dir(folder).expect("a folder").flatten().map(|f| f.path()).collect();
-    files.sort();
-    let mut played = 0;
-    for file in files {
-        let experiment =
-            flaxhead_lab::experiment::Experiment::load(&file).unwrap_or_else(|problem| panic!("{problem}"));
-        if *experiment.seconds.get_ref() > 15.0 || !wanted(experiment.name.get_ref()) {
-            continue;
-        }
-        let done = play(&experiment);
-        assert!(done.figures.verdict.passed(), "{}: {:?}", file.display(), done.figures.verdict);
-        assert_eq!(done.figures.ran_twice, 0, "{}", file.display());
-        assert!(
-            done.tries.len() >= done.figures.requests && done.figures.requests > 100,
-            "{}",
-            file.display()
-        );
-        played += 1;
+    hold(&OF_WORK);
+}
+
+#[test]
+fn each_short_experiment_is_in_a_group() {
+    let mut grouped = [&OF_HOSTS[..], &OF_PROXIES, &OF_CUT_WORK, &OF_WORK].concat();
+    grouped.sort();
+    let elsewhere = |name: &str| ["return-", "shares-"].iter().any(|kind| name.starts_with(kind));
+    let mut short: Vec<String> = std::fs::read_dir(experiments())
+        .expect("a folder")
+        .map(|file| load(&file.expect("a file").path()))
+        .filter(|experiment| *experiment.seconds.get_ref() <= SHORT)
+        .map(|experiment| experiment.name.get_ref().clone())
+        .filter(|name| !elsewhere(name))
+        .collect();
+    short.sort();
+    assert_eq!(short, grouped);
+}
+
+fn experiments() -> std::path::PathBuf {
+    std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments")
+}
+
+fn load(file: &std::path::Path) -> Experiment {
+    Experiment::load(file).unwrap_or_else(|problem| panic!("{problem}"))
+}
+
+fn hold(names: &[&str]) {
+    for name in names {
+        let done = play(&load(&experiments().join(format!("{name}.toml"))));
+        assert!(done.figures.verdict.passed(), "{name}: {:?}", done.figures.verdict);
+        assert_eq!(done.figures.ran_twice, 0, "{name}");
+        let (tries, requests) = (done.tries.len(), done.figures.requests);
+        assert!(tries >= requests && requests > 100, "{name}: {tries} tries of {requests} requests");
     }
-    assert!(played >= least, "only {played} were short");
 }
--- a/lab/tests/shares.rs
+++ b/lab/tests/shares.rs
@@ -218,18 +218,33 @@
     assert!(back.is_some(), "{:?}", done.figures.back);
 }
 
-/// Those that come with the lab, but for the long one.
 #[test]
-fn the_short_experiments_of_shares_hold() {
+fn the_experiment_of_fair_shares_holds() {
+    holds("shares-fair", 1_500);
+}
+
+#[test]
+fn the_experiment_of_a_cap_holds() {
+    holds("shares-cap", 1_500);
+}
+
+#[test]
+fn the_experiment_of_a_cut_beside_shares_holds() {
+    holds("shares-cut", 1_500);
+}
+
+#[test]
+fn the_experiment_of_shares_and_a_mass_restart_holds() {
+    holds("shares-mass-restart", 1_500);
+}
+
+/// An experiment that comes with the lab, and the least of its requests.
+fn holds(name: &str, least: usize) {
     let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
-    let mut played = 0;
-    for name in ["shares-fair", "shares-cap", "shares-cut", "shares-mass-restart"] {
-        let file = folder.join(format!("{name}.toml"));
-        let mut experiment = Experiment::load(&file).unwrap_or_else(|problem| panic!("{problem}"));
-        experiment.clients.late_ms = 400.0;
-        let done = play(&experiment);
-        assert!(done.figures.verdict.passed(), "{name}: {:?}", done.figures.verdict);
-        played += done.figures.requests;
-    }
-    assert!(played > 5_000, "{played}");
+    let file = folder.join(format!("{name}.toml"));
+    let mut experiment = Experiment::load(&file).unwrap_or_else(|problem| panic!("{problem}"));
+    experiment.clients.late_ms = 400.0;
+    let done = play(&experiment);
+    assert!(done.figures.verdict.passed(), "{name}: {:?}", done.figures.verdict);
+    assert!(done.figures.requests >= least, "{name}: {} requests", done.figures.requests);
 }
