Cut the client connection's code into smaller functions

What a connection is doing stands in a file of its own (activity.rs), beside how it is read ahead (presence.rs), whose end is a named enum now. Whether a request has ever come is asked of the connection's activity.

Behaviour is unchanged.

--- a/proxy/src/http/front/clients.rs
+++ b/proxy/src/http/front/clients.rs
@@ -1,7 +1,7 @@
 //! The connections of clients: how many may be open, and which one yields its place.
 
+use super::activity::{Activity, Phase};
 use super::conversation::{Conversation, Stage};
-use super::presence::{Activity, Phase};
 use super::Driver;
 use flaxhead_policy::{Access, Admission};
 use std::cmp::Reverse;
--- a/proxy/src/http/front/conversation.rs
+++ b/proxy/src/http/front/conversation.rs
@@ -1,7 +1,8 @@
 //! One client's connection, from its first byte to its end.
 
+use super::activity::{Activity, Phase};
 use super::answer::{plain, refused, served, Answer};
-use super::presence::{Activity, ClientStream, Phase};
+use super::presence::ClientStream;
 use super::request::take_in;
 use super::Driver;
 use crate::features::access::{self, Admitted};
@@ -9,14 +10,14 @@
 use crate::http::{code, Reply};
 use flaxhead_policy::Access;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
+use hyper::server::conn::http1;
+use hyper::service::{service_fn, Service};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::net::IpAddr;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -39,6 +40,9 @@
     Answered,
 }
 
+/// A client's connection as the HTTP library serves it.
+type Connection<'a, S, A> = Pin<&'a mut http1::Connection<TokioIo<ClientStream<S>>, A>>;
+
 /// What a client's connection needs to be served.
 pub(super) struct Conversation {
     pub(super) driver: Driver,
@@ -65,101 +69,107 @@
 
     /// Answers what comes on a connection, until it ends.
     pub(super) async fn hold(self, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
-        let Conversation { driver, activity, mut stage, first_due } = self;
-        let stream = ClientStream::new(stream, activity.clone());
-        let proper = Rc::new(Cell::new(false));
-        let service = service_fn({
-            let (activity, proper, stage) = (activity.clone(), proper.clone(), stage.clone());
-            move |request| {
-                let (driver, activity, proper) = (driver.clone(), activity.clone(), proper.clone());
-                let stage = stage.clone();
-                async move {
-                    activity.enter(Phase::Reading);
-                    let answer = answer(driver, request, &activity, &proper, &stage).await;
-                    activity.enter(Phase::Resting);
-                    Ok::<_, Infallible>(answer)
-                }
-            }
-        });
-        let mut connection = pin!(hyper::server::conn::http1::Builder::new()
+        let stream = ClientStream::new(stream, self.activity.clone());
+        let service = service_fn(|request| async { Ok::<_, Infallible>(self.respond(request).await) });
+        let connection = pin!(http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIME)
             .max_buf_size(HEAD_MOST)
             .serve_connection(TokioIo::new(stream.clone()), service));
+        let mut ended = pin!(self.until_ended(connection, stream));
+        if timeout_at(self.first_due, &mut ended).await.is_err() && self.activity.has_asked() {
+            ended.await;
+        }
+    }
+
+    /// Drives a connection until it ends, or its client goes while an answer is owed.
+    async fn until_ended<S, A>(&self, mut connection: Connection<'_, S, A>, stream: ClientStream<S>)
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+        A: Service<Request<Incoming>, Response = Answer, Error = Infallible>,
+    {
+        let mut stage = self.stage.clone();
         let mut stop = pin!(async move {
             // Nobody is left to say it once the whole proxy has ended.
             let _ = stage.wait_for(|stage| *stage != Stage::Serving).await;
         });
         let (mut stops, mut ends_soon) = (false, false);
-        let mut held = pin!(poll_fn(|context| {
+        let waits = || self.activity.phase() == Phase::Waiting;
+        let ended = poll_fn(|context| {
             stops = stops || stop.as_mut().poll(context).is_ready();
             // Once more where the library is not woken: for what was read ahead of it, or for a stop.
             for _ in 0..2 {
-                let waits = activity.phase() == Phase::Waiting;
                 // What has come by then is read and answered: only a connection without any of a request is closed.
-                if stops && !ends_soon && (waits || stream.is_quiet(context)) {
+                if stops && !ends_soon && (waits() || stream.is_quiet(context)) {
                     connection.as_mut().graceful_shutdown();
                     ends_soon = true;
                 }
                 if connection.as_mut().poll(context).is_ready() {
                     return Poll::Ready(());
                 }
-                let waits = activity.phase() == Phase::Waiting;
-                if waits || !stream.has_ahead() && (ends_soon || !stops) {
+                if waits() || !stream.has_ahead() && (ends_soon || !stops) {
                     break;
                 }
             }
             // A connection that ends here ends its request's waiting, which tells the module.
-            match activity.phase() {
-                Phase::Waiting => stream.poll_departed(context),
-                _ => Poll::Pending,
+            match waits() {
+                true => stream.poll_departed(context),
+                false => Poll::Pending,
             }
-        }));
-        if timeout_at(first_due, &mut held).await.is_err() && proper.get() {
-            held.await;
+        });
+        ended.await;
+    }
+
+    /// Answers a request, and notes what the connection does meanwhile.
+    async fn respond(&self, request: Request<Incoming>) -> Answer {
+        self.activity.enter(Phase::Reading);
+        let answer = self.answer(request).await;
+        self.activity.enter(Phase::Resting);
+        answer
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Answer {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/_health") => self.health(),
+            (_, "/_health") => plain(StatusCode::METHOD_NOT_ALLOWED),
+            (_, "/api") => self.call(request).await,
+            _ => plain(StatusCode::NOT_FOUND),
         }
     }
-}
 
-/// Answers a request; `proper` is set once one has come whole.
-async fn answer(
-    driver: Driver,
-    request: Request<Incoming>,
-    activity: &Activity,
-    proper: &Cell<bool>,
-    stage: &watch::Receiver<Stage>,
-) -> Answer {
-    let arrived = activity.received();
-    match (request.method(), request.uri().path()) {
-        (&Method::GET, "/_health") => {
-            proper.set(true);
-            plain(if driver.engine.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    fn health(&self) -> Answer {
+        self.activity.note_asked();
+        plain(match self.driver.engine.is_ready() {
+            true => StatusCode::OK,
+            false => StatusCode::SERVICE_UNAVAILABLE,
+        })
+    }
+
+    /// Hands a call to the engine, and tells its client what became of it.
+    async fn call(&self, request: Request<Incoming>) -> Answer {
+        let arrived = self.activity.received();
+        let (ask, forward) = match take_in(&self.driver, request, arrived).await {
+            Ok(taken) => taken,
+            Err(status) => return plain(status),
+        };
+        self.activity.note_asked();
+        self.activity.enter(Phase::Waiting);
+        if *self.stage.borrow() == Stage::Answered {
+            return refused(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
+        }
+        // A client that goes meanwhile leaves its line.
+        let ticket = match &self.driver.lines {
+            None => None,
+            Some(lines) => match lines.enter(&ask).await {
+                Ok(ticket) => Some(ticket),
+                Err(after) => return refused(StatusCode::SERVICE_UNAVAILABLE, after),
+            },
+        };
+        let reply = self.driver.engine.request(ask, forward, ticket).reply().await;
+        match (code(&reply), reply) {
+            (_, Reply::Served(answer)) => served(answer),
+            (code, Reply::Refused(after)) => refused(code, after),
+            (code, Reply::Failed) => plain(code),
         }
-        (_, "/_health") => plain(StatusCode::METHOD_NOT_ALLOWED),
-        (_, "/api") => match take_in(&driver, request, arrived).await {
-            Ok((ask, forward)) => {
-                proper.set(true);
-                activity.enter(Phase::Waiting);
-                if *stage.borrow() == Stage::Answered {
-                    return refused(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
-                }
-                // A client that goes meanwhile leaves its line.
-                let ticket = match &driver.lines {
-                    None => None,
-                    Some(lines) => match lines.enter(&ask).await {
-                        Ok(ticket) => Some(ticket),
-                        Err(after) => return refused(StatusCode::SERVICE_UNAVAILABLE, after),
-                    },
-                };
-                let reply = driver.engine.request(ask, forward, ticket).reply().await;
-                match (code(&reply), reply) {
-                    (_, Reply::Served(answer)) => served(answer),
-                    (code, Reply::Refused(after)) => refused(code, after),
-                    (code, Reply::Failed) => plain(code),
-                }
-            }
-            Err(status) => plain(status),
-        },
-        _ => plain(StatusCode::NOT_FOUND),
     }
 }
--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -1,5 +1,6 @@
 //! The application's side: takes requests in and gives each its one answer.
 
+mod activity;
 mod answer;
 mod clients;
 mod conversation;
--- a/proxy/src/http/front/presence.rs
+++ b/proxy/src/http/front/presence.rs
@@ -4,10 +4,12 @@
 //! none, so that a client that sent anything more and then closed would go unseen. Here the connection is read ahead,
 //! within a bound, for as long as an answer is owed.
 
-use std::cell::{Cell, RefCell};
+use super::activity::{Activity, Phase};
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
+use std::mem;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -25,84 +27,37 @@
 const LINGER: Duration = Duration::from_millis(200);
 const LINGER_MOST: usize = 256 << 10;
 
-/// What a client's connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Phase {
-    /// Nothing has come on it yet.
-    New,
-    /// A part of a request has come.
-    Reading,
-    /// A request has come whole, and its answer is owed.
-    Waiting,
-    /// Its last request was answered.
-    Resting,
-    /// No more is read from it as a request.
-    Closing,
-}
-
-/// What is known of a connection, for those that decide about it.
-#[derive(Debug)]
-pub(super) struct Activity {
-    phase: Cell<Phase>,
-    since: Cell<Instant>,
-    received: Cell<Instant>,
-}
-
-impl Activity {
-    /// One that has just begun.
-    pub fn new() -> Activity {
-        let now = Instant::now();
-        Activity { phase: Cell::new(Phase::New), since: Cell::new(now), received: Cell::new(now) }
-    }
-
-    /// What the connection is doing.
-    pub fn phase(&self) -> Phase {
-        self.phase.get()
-    }
-
-    /// For how long it has done so.
-    pub fn age(&self) -> Duration {
-        self.since.get().elapsed()
-    }
-
-    /// When the last bytes that were passed on came from the client: a request that was read ahead is older than the
-    /// moment at which its turn comes.
-    pub fn received(&self) -> Instant {
-        self.received.get()
-    }
-
-    /// Notes what the connection does from now on.
-    pub fn enter(&self, phase: Phase) {
-        // What is being closed does nothing else any more.
-        if self.phase.get() != Phase::Closing {
-            self.phase.set(phase);
-            self.since.set(Instant::now());
-        }
-    }
-
-    fn heard(&self, at: Instant) {
-        self.received.set(at);
-        if matches!(self.phase(), Phase::New | Phase::Reading | Phase::Resting) {
-            self.enter(Phase::Reading);
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Inner<S> {
     stream: S,
     /// Bytes that were read ahead, and when the first of them came.
     ahead: VecDeque<u8>,
     ahead_since: Instant,
-    /// The client has closed its side; an error is told once, as a reset is.
-    ended: Option<Option<io::Error>>,
+    /// What came behind the last byte, if anything has.
+    end: Option<End>,
     linger: Option<Linger>,
 }
 
+/// How the client's side of a connection ended.
+#[derive(Debug)]
+enum End {
+    /// The client closed it.
+    Closed,
+    /// It broke, as by a reset; the library has not been told so yet.
+    Broken(io::Error),
+}
+
+/// What is left of the reading behind a close.
 #[derive(Debug)]
 struct Linger {
     until: Pin<Box<Sleep>>,
-    left: usize,
+    bytes_left: usize,
+}
+
+impl Linger {
+    fn begin() -> Linger {
+        Linger { until: Box::pin(sleep(LINGER)), bytes_left: LINGER_MOST }
+    }
 }
 
 /// A client's connection, shared by the HTTP library and by those that watch it.
@@ -122,7 +77,7 @@
     /// Wraps a connection.
     pub fn new(stream: S, activity: Rc<Activity>) -> ClientStream<S> {
         let ahead_since = Instant::now();
-        let inner = Inner { stream, ahead: VecDeque::new(), ahead_since, ended: None, linger: None };
+        let inner = Inner { stream, ahead: VecDeque::new(), ahead_since, end: None, linger: None };
         ClientStream { inner: Rc::new(RefCell::new(inner)), activity }
     }
 
@@ -147,18 +102,18 @@
 impl<S: AsyncRead + AsyncWrite + Unpin> Inner<S> {
     /// Reads ahead all that is there; done at the connection's end, or past the bound.
     fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while self.ended.is_none() && self.ahead.len() < AHEAD_MOST {
+        while self.end.is_none() && self.ahead.len() < AHEAD_MOST {
             let mut piece = [0; PIECE];
             let mut buffer = ReadBuf::new(&mut piece);
             match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
-                Ok(()) if buffer.filled().is_empty() => self.ended = Some(None),
+                Ok(()) if buffer.filled().is_empty() => self.end = Some(End::Closed),
                 Ok(()) => {
                     if self.ahead.is_empty() {
                         self.ahead_since = Instant::now();
                     }
                     self.ahead.extend(buffer.filled());
                 }
-                Err(error) => self.ended = Some(Some(error)),
+                Err(error) => self.end = Some(End::Broken(error)),
             }
         }
         Poll::Ready(())
@@ -167,14 +122,13 @@
     /// Reads and drops what still comes, for a while.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Inner { stream, linger, .. } = self;
-        let linger =
-            linger.get_or_insert_with(|| Linger { until: Box::pin(sleep(LINGER)), left: LINGER_MOST });
-        while linger.left > 0 && linger.until.as_mut().poll(context).is_pending() {
+        let linger = linger.get_or_insert_with(Linger::begin);
+        while linger.bytes_left > 0 && linger.until.as_mut().poll(context).is_pending() {
             let mut piece = [0; PIECE];
             let mut buffer = ReadBuf::new(&mut piece);
             match ready!(Pin::new(&mut *stream).poll_read(context, &mut buffer)) {
                 Ok(()) if !buffer.filled().is_empty() => {
-                    linger.left = linger.left.saturating_sub(buffer.filled().len());
+                    linger.bytes_left = linger.bytes_left.saturating_sub(buffer.filled().len());
                 }
                 _ => break,
             }
@@ -198,8 +152,11 @@
             self.activity.heard(inner.ahead_since);
             return Poll::Ready(Ok(()));
         }
-        if let Some(ended) = &mut inner.ended {
-            return Poll::Ready(ended.take().map_or(Ok(()), Err));
+        if let Some(end) = &mut inner.end {
+            return Poll::Ready(match mem::replace(end, End::Closed) {
+                End::Closed => Ok(()),
+                End::Broken(error) => Err(error),
+            });
         }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut inner.stream).poll_read(context, buffer))?;
