Let the tests' stand-in hosts share one accept loop

Four test files and the common hosts each wrote the loop that accepts connections and the one that answers requests. Both stand once in proxy/tests/common now (`serve_each`, `answer_each`, `bound`). Checks are unchanged.

--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -124,6 +124,45 @@
     Act::Say("HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned())
 }
 
+/// A port of the test's own, with a listener on it.
+pub async fn bound() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((own(), 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// Serves each connection that comes, beside the others.
+pub fn serve_each<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream) -> F + 'static,
+) {
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve(stream));
+        }
+    });
+}
+
+/// Answers each request with 200 once `take` is done with it.
+pub fn answer_each<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    take: impl Fn(Message) -> F + Clone + 'static,
+) {
+    serve_each(listener, move |stream| {
+        let take = take.clone();
+        async move {
+            let mut reader = Reader::new(stream);
+            while let Some(message) = reader.message().await {
+                take(message).await;
+                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                if reader.stream.write_all(answer).await.is_err() {
+                    return;
+                }
+            }
+        }
+    });
+}
+
 /// A host: it does one act after the other, and the last for good.
 #[derive(Clone)]
 pub struct Host {
@@ -138,7 +177,7 @@
 
 impl Host {
     pub async fn start(acts: impl IntoIterator<Item = Act>) -> Host {
-        Host::on(TcpListener::bind((own(), 0)).await.expect("a port"), acts)
+        Host::on(bound().await.0, acts)
     }
 
     pub fn on(listener: TcpListener, acts: impl IntoIterator<Item = Act>) -> Host {
@@ -147,15 +186,13 @@
         let (seen, opened, open, release) = Default::default();
         let host = Host { address, seen, opened, open, acts, release };
         let accepting = host.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let host = accepting.clone();
-                host.opened.set(host.opened.get() + 1);
-                host.open.set(host.open.get() + 1);
-                spawn_local(async move {
-                    host.serve(stream).await;
-                    host.open.set(host.open.get() - 1);
-                });
+        serve_each(listener, move |stream| {
+            let host = accepting.clone();
+            host.opened.set(host.opened.get() + 1);
+            host.open.set(host.open.get() + 1);
+            async move {
+                host.serve(stream).await;
+                host.open.set(host.open.get() - 1);
             }
         });
         host
@@ -240,8 +277,7 @@
     }
 
     pub async fn start(answers: impl IntoIterator<Item = String>) -> Discovery {
-        let listener = TcpListener::bind((own(), 0)).await.expect("a port");
-        let address = listener.local_addr().expect("an address");
+        let (listener, address) = bound().await;
         let discovery = Discovery { address, asked: Rc::default(), watch: Rc::default() };
         let (serving, mut answers) = (discovery.clone(), answers.into_iter().collect::<VecDeque<_>>());
         spawn_local(async move {
--- a/proxy/tests/crowd.rs
+++ b/proxy/tests/crowd.rs
@@ -7,13 +7,13 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fs;
+use std::future::ready;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
 /// Descriptors that the program may have, by its configuration and by the system.
@@ -31,26 +31,14 @@
 
 /// A host that notes when requests come, and answers at once.
 async fn noting() -> (SocketAddr, Seen) {
-    let listener = TcpListener::bind((own(), 0)).await.expect("a port");
-    let address = listener.local_addr().expect("an address");
+    let (listener, address) = bound().await;
     let seen = Seen::default();
     let noted = seen.clone();
-    spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            let noted = noted.clone();
-            spawn_local(async move {
-                let mut reader = Reader::new(stream);
-                while let Some(message) = reader.message().await {
-                    let header = |name| message.header(name).expect("a header").to_owned();
-                    let told = header("x-budget-ms").parse().expect("a number");
-                    noted.borrow_mut().insert(header("x-call-id"), (Instant::now(), told));
-                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                    if reader.stream.write_all(answer).await.is_err() {
-                        return;
-                    }
-                }
-            });
-        }
+    answer_each(listener, move |message| {
+        let header = |name| message.header(name).expect("a header").to_owned();
+        let told = header("x-budget-ms").parse().expect("a number");
+        noted.borrow_mut().insert(header("x-call-id"), (Instant::now(), told));
+        ready(())
     });
     (address, seen)
 }
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, Instant};
@@ -55,27 +55,14 @@
 
     /// A host that answers after 1 to 300 ms.
     async fn host(&self) -> Host {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let host =
-            Host { address: listener.local_addr().expect("an address"), ..Host::start([ok("")]).await };
+        let (listener, address) = bound().await;
+        let host = Host { address, ..Host::start([ok("")]).await };
         let books = self.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let books = books.clone();
-                spawn_local(async move {
-                    let mut reader = Reader::new(stream);
-                    while let Some(message) = reader.message().await {
-                        let id = message.header("x-call-id").expect("an id").to_owned();
-                        let number: u64 = id.parse().expect("a number");
-                        books.at_host.borrow_mut().push(id);
-                        sleep(Duration::from_millis([1, 5, 20, 300][number as usize % 4])).await;
-                        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                        if reader.stream.write_all(answer).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
+        answer_each(listener, move |message| {
+            let id = message.header("x-call-id").expect("an id").to_owned();
+            let number: usize = id.parse().expect("a number");
+            books.at_host.borrow_mut().push(id);
+            sleep(Duration::from_millis([1, 5, 20, 300][number % 4]))
         });
         host
     }
--- a/proxy/tests/throng.rs
+++ b/proxy/tests/throng.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -51,26 +51,11 @@
 
 impl Worker {
     async fn start(started: Option<Instant>) -> Worker {
-        let listener = TcpListener::bind((own(), 0)).await.expect("a port");
-        let address = listener.local_addr().expect("an address");
+        let (listener, address) = bound().await;
         let worker =
             Worker { address, started, free_at: Rc::new(Cell::new(Instant::now())), came: Rc::default() };
         let serving = worker.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let worker = serving.clone();
-                spawn_local(async move {
-                    let mut reader = Reader::new(stream);
-                    while reader.message().await.is_some() {
-                        sleep_until(worker.take()).await;
-                        let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                        if reader.stream.write_all(answer).await.is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
+        answer_each(listener, move |_| sleep_until(serving.take()));
         worker
     }
 
@@ -113,29 +98,10 @@
 
 impl Common {
     async fn start(slow: Duration) -> Common {
-        let listener = TcpListener::bind((own(), 0)).await.expect("a port");
-        let address = listener.local_addr().expect("an address");
+        let (listener, address) = bound().await;
         let common = Common { address, list: Rc::default(), watches: Rc::default() };
         let serving = common.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let common = serving.clone();
-                spawn_local(async move {
-                    let (read, mut write) = stream.into_split();
-                    let mut reader = Reader::new(read);
-                    if reader.message().await.is_none() {
-                        return;
-                    }
-                    sleep(slow).await;
-                    let list = common.list.borrow().clone();
-                    let text = if list.is_empty() { String::new() } else { chunk(&list) };
-                    if write.write_all(format!("{WATCH}{text}").as_bytes()).await.is_ok() {
-                        common.watches.borrow_mut().push(write);
-                        let _ = reader.stream.read(&mut [0; 8]).await;
-                    }
-                });
-            }
-        });
+        serve_each(listener, move |stream| serving.clone().serve(stream, slow));
         let living = common.clone();
         spawn_local(async move {
             loop {
@@ -146,6 +112,22 @@
         common
     }
 
+    async fn serve(self, stream: TcpStream, slow: Duration) {
+        let (read, mut write) = stream.into_split();
+        let mut reader = Reader::new(read);
+        if reader.message().await.is_none() {
+            return;
+        }
+        sleep(slow).await;
+        let list = self.list.borrow().clone();
+        let text = if list.is_empty() { String::new() } else { chunk(&list) };
+        if write.write_all(format!("{WATCH}{text}").as_bytes()).await.is_ok() {
+            self.watches.borrow_mut().push(write);
+            // Until whoever watches closes.
+            let _ = reader.stream.read(&mut [0; 8]).await;
+        }
+    }
+
     /// To all that watch; who has gone hears nothing.
     fn say(&self, text: &str) {
         self.watches.borrow_mut().retain(|watch| watch.try_write(text.as_bytes()).is_ok());
--- a/proxy/tests/told.rs
+++ b/proxy/tests/told.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
@@ -47,43 +47,37 @@
 
 impl Failing {
     async fn start(failure: Failure) -> Failing {
-        let listener = TcpListener::bind((own(), 0)).await.expect("a port");
-        let address = listener.local_addr().expect("an address");
+        let (listener, address) = bound().await;
         let failing = Failing { address, mended: Rc::default(), asks: Rc::default(), text: Rc::default() };
         let serving = failing.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let failing = serving.clone();
-                spawn_local(async move {
-                    let mut reader = Reader::new(stream);
-                    if reader.message().await.is_none() {
-                        return;
-                    }
-                    failing.asks.set(failing.asks.get() + 1);
-                    let list = chunk(&failing.text.borrow());
-                    let text = match failure {
-                        _ if failing.mended.get() => format!("{WATCH}{list}"),
-                        Failure::Reset => {
-                            let _ = reader.stream.set_zero_linger();
-                            return;
-                        }
-                        Failure::Status => "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned(),
-                        Failure::Ended => format!("{WATCH}0\r\n\r\n"),
-                        Failure::Torn => format!("{WATCH}{}", &list[..list.len() / 2]),
-                        Failure::Silent => String::new(),
-                    };
-                    let silent = text.is_empty();
-                    if reader.stream.write_all(text.as_bytes()).await.is_ok()
-                        && (silent || failing.mended.get())
-                    {
-                        // Until the asker gives up.
-                        let _ = reader.stream.read(&mut [0; 8]).await;
-                    }
-                });
-            }
-        });
+        serve_each(listener, move |stream| serving.clone().serve(stream, failure));
         failing
     }
+
+    async fn serve(self, stream: TcpStream, failure: Failure) {
+        let mut reader = Reader::new(stream);
+        if reader.message().await.is_none() {
+            return;
+        }
+        self.asks.set(self.asks.get() + 1);
+        let list = chunk(&self.text.borrow());
+        let text = match failure {
+            _ if self.mended.get() => format!("{WATCH}{list}"),
+            Failure::Reset => {
+                let _ = reader.stream.set_zero_linger();
+                return;
+            }
+            Failure::Status => "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".to_owned(),
+            Failure::Ended => format!("{WATCH}0\r\n\r\n"),
+            Failure::Torn => format!("{WATCH}{}", &list[..list.len() / 2]),
+            Failure::Silent => String::new(),
+        };
+        let waits = text.is_empty() || self.mended.get();
+        if reader.stream.write_all(text.as_bytes()).await.is_ok() && waits {
+            // Until the asker gives up.
+            let _ = reader.stream.read(&mut [0; 8]).await;
+        }
+    }
 }
 
 fn engine(me: u32, watched: Watched, ask: bool, old: &List) -> Engine<Http> {
