Move unit tests out of source files into test files

Forty-one source files carried their tests at the end; each has them in a file beside it now, by the standard layout (`foo.rs`, `foo/tests.rs`). No test was changed but for its indentation. Three module comments named one deployment where a general reason stands now.

Measured: clippy has no complaint; the tests of the proxy, runs, shares and work pass, and the whole is due with the next run of all checks.

--- a/proxy/src/features/hosts.rs
+++ b/proxy/src/features/hosts.rs
@@ -154,35 +154,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_zone_counts_as_lost_where_all_of_its_hosts_that_were_tried_failed_last() {
-        let mut board = Board::default();
-        let hosts = (0..4_u32).map(|n| Host {
-            host: format!("h{n}"),
-            dial: ([127, 0, 0, 1], 1).into(),
-            site: if n < 2 { "a" } else { "b" }.to_owned(),
-            class: String::new(),
-            block: 0,
-            health: Health::Ready,
-            share: 1.0,
-            born_ms: 0,
-        });
-        let list = List { seq: 1, whole: true, hosts: hosts.collect() };
-        let servers: Vec<ServerId> = (0..4).map(ServerId).collect();
-        board.listed(&list, &servers);
-        for server in [0, 1, 2] {
-            board.ended(ServerId(server), Outcome::NoConnection);
-        }
-        assert_eq!(board.lost().into_iter().collect::<Vec<_>>(), ["a"]);
-        board.ended(ServerId(1), Outcome::Served);
-        assert!(board.lost().is_empty());
-        // And one whose hosts have all left the list, though nothing failed there.
-        let gone = |host: Host| Host { health: Health::Terminating, ..host };
-        let hosts: Vec<Host> = list.hosts.into_iter().skip(2).map(gone).collect();
-        board.listed(&List { seq: 2, whole: false, hosts }, &servers[2..]);
-        assert_eq!(board.lost().into_iter().collect::<Vec<_>>(), ["b"]);
-    }
-}
+mod tests;
--- a/proxy/src/features/shares/mod.rs
+++ b/proxy/src/features/shares/mod.rs
@@ -1,5 +1,5 @@
-//! Connection capacity that tenants share: a gate before the engine, and what the proxies settle of it. At Bonifico Lesto
-//! proxies do not talk to each other, and this is off.
+//! Connection capacity that tenants share: a gate before the engine, and what the proxies settle of it. Off where proxies
+//! may not talk to each other.
 
 mod lines;
 mod ride;
