--- a/lab/src/shares/judge/figures.rs
+++ b/lab/src/shares/judge/figures.rs
@@ -77,7 +77,7 @@
     /// Requests that a node answered.
     pub got: usize,
     /// Requests that exact weighted max-min would give it of all that were answered. Not judged: what is shared is calls
-    /// in hand, and how long one takes is a matter of the host that it goes to.
+    /// in hand, and how long one takes depends on the host that it goes to.
     pub fair: f64,
     /// Calls in hand that it was due on the mean, by exact weighted max-min of all that were in hand: no more than it
     /// asked for, by Little's law.
--- a/lab/tests/returns_shares.rs
+++ b/lab/tests/returns_shares.rs
@@ -5,10 +5,10 @@
 mod common;
 
 use common::{class, fault, play};
-use flaxhead_accord::Memory;
 use flaxhead_lab::experiment::Experiment;
 use flaxhead_lab::peers::rig::Rig;
 use flaxhead_lab::proxy::Program;
+use flaxhead_lease::Memory;
 use flaxhead_shares::Shares;
 use flaxhead_state::{disk, form, Snapshot};
 use serde_json::Value;
--- a/lab/tests/state.rs
+++ b/lab/tests/state.rs
@@ -3,9 +3,9 @@
 
 mod orders;
 
-use flaxhead_accord::Memory;
 use flaxhead_lab::peers::rig::Rig;
 use flaxhead_lab::proxy::Program;
+use flaxhead_lease::Memory;
 use flaxhead_state::{disk, form, Snapshot};
 use flaxhead_turns::Turns;
 use orders::{work, PROGRAM};
--- a/accord/rig/src/fleet.rs
+++ b/lease/rig/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::act::{Act, Lasting};
 use crate::world::{Letter, World};
-use flaxhead_accord::{Matter, Message};
+use flaxhead_lease::{Application, Message};
 use std::collections::VecDeque;
 
 /// Most messages of a step: beyond that it would never end.
@@ -31,10 +31,10 @@
     pub ends: u8,
 }
 
-/// Processes that settle a matter, and the world around them.
+/// Processes that settle an application, and the world around them.
 pub trait Fleet {
-    /// The matter.
-    type Matter: Matter + Clone + std::fmt::Debug;
+    /// The application.
+    type Application: Application + Clone + std::fmt::Debug;
     /// What the model keeps beside the processes.
     type Own: Clone;
     /// What processes that all start again find.
@@ -46,42 +46,46 @@
     /// A message comes to a node, or its time does.
     fn react(
         &self,
-        world: &mut World<Self::Matter, Self::Own>,
+        world: &mut World<Self::Application, Self::Own>,
         node: usize,
-        message: Option<(usize, Message<Self::Matter>)>,
-    ) -> Vec<Letter<Self::Matter>>;
+        message: Option<(usize, Message<Self::Application>)>,
+    ) -> Vec<Letter<Self::Application>>;
 
     /// A node's process is gone, and another is started.
-    fn crash(&self, world: &mut World<Self::Matter, Self::Own>, node: usize);
+    fn crash(&self, world: &mut World<Self::Application, Self::Own>, node: usize);
 
     /// All are gone at once, and started.
-    fn restart(&self, world: &mut World<Self::Matter, Self::Own>, found: Self::Found);
+    fn restart(&self, world: &mut World<Self::Application, Self::Own>, found: Self::Found);
 
     /// A frozen one goes on where it was, before any timer of its own, and before anything that it hears.
-    fn woken(&self, world: &mut World<Self::Matter, Self::Own>, node: usize);
+    fn woken(&self, world: &mut World<Self::Application, Self::Own>, node: usize);
 
     /// The step begins.
-    fn begins(&self, _: &mut World<Self::Matter, Self::Own>) {}
+    fn begins(&self, _: &mut World<Self::Application, Self::Own>) {}
 
     /// A node's part in a step, whatever comes.
-    fn turn(&self, world: &mut World<Self::Matter, Self::Own>, node: usize) -> Vec<Letter<Self::Matter>> {
+    fn turn(
+        &self,
+        world: &mut World<Self::Application, Self::Own>,
+        node: usize,
+    ) -> Vec<Letter<Self::Application>> {
         self.react(world, node, None)
     }
 
     /// All had their part, and nothing has come yet.
-    fn between(&self, _: &mut World<Self::Matter, Self::Own>) {}
+    fn between(&self, _: &mut World<Self::Application, Self::Own>) {}
 
     /// Whether anybody hears a node.
-    fn is_heard(&self, world: &World<Self::Matter, Self::Own>, node: usize) -> bool {
+    fn is_heard(&self, world: &World<Self::Application, Self::Own>, node: usize) -> bool {
         world.is_heard(node)
     }
 
     /// A step, and how many messages there were in it.
     fn run(
         &self,
-        world: &World<Self::Matter, Self::Own>,
+        world: &World<Self::Application, Self::Own>,
         act: Act<Self::Found>,
-    ) -> (World<Self::Matter, Self::Own>, usize) {
+    ) -> (World<Self::Application, Self::Own>, usize) {
         let mut world = world.clone();
         world.step += 1;
         self.begins(&mut world);
@@ -135,7 +139,7 @@
     }
 
     /// All that may befall the next step.
-    fn acts(&self, world: &World<Self::Matter, Self::Own>, acts: &mut Vec<Act<Self::Found>>) {
+    fn acts(&self, world: &World<Self::Application, Self::Own>, acts: &mut Vec<Act<Self::Found>>) {
         let bounds = self.bounds();
         if world.wrong.is_some() || world.step >= bounds.first + bounds.ends {
             return;
--- a/accord/rig/src/world.rs
+++ b/lease/rig/src/world.rs
@@ -1,15 +1,15 @@
 //! The processes, what is on the way between them, and what is wrong.
 
 use crate::act::Lasting;
-use flaxhead_accord::{Effect, Machine, Matter, MemberFact, Message, Name, Presence};
+use flaxhead_lease::{Application, Effect, Machine, MemberFact, Message, Name, Presence};
 use std::collections::BTreeMap;
 
 /// A message: from whom, to whom.
 pub type Letter<T> = (usize, usize, Message<T>);
 
-/// A state. `O`: what the model of a matter keeps beside it.
+/// A state. `O`: what the model of an application keeps beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct World<T: Matter, O> {
+pub struct World<T: Application, O> {
     /// Steps so far.
     pub step: u8,
     /// The processes; the voters come first.
@@ -26,11 +26,11 @@
     pub lives: u64,
     /// What was seen that must not be.
     pub wrong: Option<&'static str>,
-    /// What the matter's model keeps.
+    /// What the application's model keeps.
     pub own: O,
 }
 
-impl<T: Matter, O> World<T, O> {
+impl<T: Application, O> World<T, O> {
     /// Before anybody starts.
     pub fn new(own: O) -> World<T, O> {
         World {
--- a/accord/src/matter.rs
+++ b/lease/src/application.rs
@@ -35,16 +35,16 @@
 }
 
 /// Something that the proxies settle in common. The value itself is the part that every process has; the holder has a
-/// [`Matter::Desk`] besides, for as long as it holds.
+/// [`Application::Desk`] besides, for as long as it holds.
 ///
-/// Each matter has a lease and a roster of its own ([`crate::Machine`]), so that two of them share nothing that could go
+/// Each application has a lease and a roster of its own ([`crate::Machine`]), so that two of them share nothing that could go
 /// wrong together. All methods decide only: they have no I/O and no clock, and the same calls lead to the same state.
 ///
-/// A matter whose word goes to each process alone (shares) takes `()` as its slate and has orders that [`crate::Never`]
+/// An application whose word goes to each process alone (shares) takes `()` as its slate and has orders that [`crate::Never`]
 /// are:
 ///
 /// ```
-/// use flaxhead_accord::{Granted, Matter, Member, Micros, Never, Process, Room, Said, Terms, Unsettled};
+/// use flaxhead_lease::{Granted, Application, Member, Micros, Never, Process, Room, Said, Terms, Unsettled};
 /// use std::collections::BTreeMap;
 ///
 /// /// So many units for all, shared evenly among those that want any.
@@ -71,7 +71,7 @@
 ///     const ORDER_MOST: usize = 0;
 /// }
 ///
-/// impl Matter for Even {
+/// impl Application for Even {
 ///     type Desk = BTreeMap<Process, u32>;
 ///
 ///     fn word(&mut self, _: Micros, _: &Member<Self>, _: &()) -> u32 {
@@ -111,7 +111,7 @@
 /// ```
 ///
 /// (It is a toy: a unit that was lowered is given to another before it is known to be free.)
-pub trait Matter: Terms {
+pub trait Application: Terms {
     /// What the holder keeps of it; gone with the lease.
     type Desk: Clone + std::fmt::Debug + Eq + std::hash::Hash;
 
@@ -139,8 +139,8 @@
     fn forgotten(&mut self) {}
 
     /// Whether its next word should not wait for the regular renewal. Asked for after everything that happens; the core
-    /// bounds the pace to a twelfth of the regular pause and more, with jitter, and the matter takes its wish back in
-    /// [`Matter::word`].
+    /// bounds the pace to a twelfth of the regular pause and more, with jitter, and the application takes its wish back in
+    /// [`Application::word`].
     fn hurries(&self) -> bool {
         false
     }
--- a/accord/src/config.rs
+++ b/lease/src/config.rs
@@ -13,7 +13,7 @@
     pub lease: Micros,
     /// The longest that a request may take: what a proxy that is no longer heard may still have in hand.
     pub longest_call: Micros,
-    /// After all voters have forgotten: how long the holder counts what is settled as not known, unless its matter
+    /// After all voters have forgotten: how long the holder counts what is settled as not known, unless its application
     /// says that all is known.
     pub cold_wait: Micros,
     /// How long a restarted proxy waits to be let in where nobody answers that knows what is settled; then it serves by
--- a/accord/src/facts.rs
+++ b/lease/src/facts.rs
@@ -1,4 +1,4 @@
-//! What a process knows from elsewhere: members from the membership, and what the matter goes by.
+//! What a process knows from elsewhere: members from the membership, and what the application goes by.
 
 use flaxhead_membership::{Micros, Name};
 use std::collections::BTreeMap;
@@ -39,6 +39,6 @@
     pub members: BTreeMap<Name, MemberFact>,
     /// Whether this process takes part in what is settled in common, by the membership's word.
     pub takes_part: bool,
-    /// What the matter goes by.
+    /// What the application goes by.
     pub own: O,
 }
--- a/accord/src/hold/room.rs
+++ b/lease/src/hold/room.rs
@@ -1,4 +1,4 @@
-//! What a matter sees of the holder, and may do there.
+//! What an application sees of the holder, and may do there.
 
 use super::heard::Heard;
 use super::state::Hold;
@@ -10,7 +10,7 @@
 use crate::voters::Voters;
 use flaxhead_membership::Micros;
 
-/// The holder, as a matter finds it with everything that happens there.
+/// The holder, as an application finds it with everything that happens there.
 pub struct Room<'a, T: Terms> {
     pub(crate) hold: &'a mut Hold<T>,
     pub(crate) voters: &'a Voters,
@@ -85,7 +85,7 @@
         self.hold.cold.take().is_some()
     }
 
-    /// A process does not run any more. The matter hears of its parting as of any other's.
+    /// A process does not run any more. The application hears of its parting as of any other's.
     pub fn forget(&mut self, process: &Process) {
         self.hold.forget(process);
     }
--- a/accord/src/hold/state.rs
+++ b/lease/src/hold/state.rs
@@ -65,7 +65,7 @@
     survivor: bool,
     pending: Vec<Pending<T>>,
     pub(super) noted: Vec<T::Note>,
-    /// Those that left the roster, which the matter has not heard of yet.
+    /// Those that left the roster, which the application has not heard of yet.
     pub(super) parted: Vec<Process>,
 }
 
--- a/accord/src/machine/bid.rs
+++ b/lease/src/machine/bid.rs
@@ -1,16 +1,16 @@
 //! Tries to become the holder, and giving way.
 
 use super::state::{Around, Effect, Machine};
+use crate::application::Application;
 use crate::ballot::Ballot;
 use crate::hold::Bid;
-use crate::matter::Matter;
 use crate::message::{Message, Promise};
 use flaxhead_membership::{Micros, Name};
 
 /// Doublings of the pause between two bids: to two leases.
 const BID_DOUBLINGS: u32 = 3;
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     /// Who bids again waits longer each time, so that of several one comes through whatever the way between them takes.
     pub(super) fn bid_again(&mut self, around: &mut Around<'_, M::Facts>, after: Micros) {
         let span = self.config.renew_every() << self.tries.min(BID_DOUBLINGS);
--- a/accord/src/machine/disk.rs
+++ b/lease/src/machine/disk.rs
@@ -4,9 +4,9 @@
 //! silent as if it had forgotten.
 
 use super::state::{Around, Effect, Machine};
+use crate::application::Application;
 use crate::ballot::{Ballot, Version};
 use crate::known::Known;
-use crate::matter::Matter;
 use crate::memory::{Mark, Memory};
 use crate::message::Message;
 use crate::roster::Roster;
@@ -21,7 +21,7 @@
     granted: Option<(Name, Ballot, u64)>,
 }
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     /// Has the process go by a disk, where this was found of the process before it, so old. Called at its start, before
     /// anything else happens.
     #[must_use]
--- a/accord/src/machine/hear.rs
+++ b/lease/src/machine/hear.rs
@@ -1,7 +1,7 @@
 //! What happens to a process: time, orders and messages.
 
 use super::state::{Around, Effect, Machine, Waiting};
-use crate::matter::{Granted, Matter};
+use crate::application::{Application, Granted};
 use crate::message::Message;
 use crate::terms::Unsettled;
 use crate::voter::Voter;
@@ -10,7 +10,7 @@
 /// Orders that may wait to be passed on, or for their answer.
 const ORDERS_MOST: usize = 64;
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     /// When [`Machine::tick`] is wanted next.
     pub fn next_wake(&self) -> Micros {
         let voter = self.voter.as_ref().map_or(Micros::MAX, Voter::next_wake);
@@ -189,7 +189,7 @@
                 if ballot.name == *from && life == self.me.life && stamp <= now && self.hears(&ballot) {
                     if self.member.granted(stamp, remembers, &self.config) {
                         let until = stamp + self.config.lease;
-                        self.matter.granted(&Granted { ballot, stamp, until, leave });
+                        self.application.granted(&Granted { ballot, stamp, until, leave });
                     }
                     self.elsewhere = Some((from.clone(), now));
                 }
--- a/accord/src/machine/lease.rs
+++ b/lease/src/machine/lease.rs
@@ -2,13 +2,13 @@
 
 use super::holder::{At, Holder};
 use super::state::{Around, Effect, Machine};
+use crate::application::Application;
 use crate::ballot::{Ballot, Version};
 use crate::hold::Hold;
-use crate::matter::Matter;
 use crate::message::Message;
 use flaxhead_membership::{Micros, Name};
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     pub(super) fn accepted(
         &mut self,
         around: &mut Around<'_, M::Facts>,
@@ -36,8 +36,8 @@
         let Some(bid) = self.bid.take() else { return };
         let own = (&self.member.told_now(now), self.member.knows);
         let hold = Hold::new(now, &self.config, &self.voters, bid, own, self.me.clone());
-        let (config, voters, me, matter) = (&self.config, &self.voters, &self.me, &self.matter);
-        let holder = Holder::new(hold, &At { now, config, voters, facts: around.facts, me, matter });
+        let (config, voters, me, application) = (&self.config, &self.voters, &self.me, &self.application);
+        let holder = Holder::new(hold, &At { now, config, voters, facts: around.facts, me, application });
         self.take(now, holder.hold.told.clone());
         self.holder = Some(Box::new(holder));
         self.tries = 0;
--- a/accord/src/machine/leave.rs
+++ b/lease/src/machine/leave.rs
@@ -2,7 +2,7 @@
 
 use super::holder::Reply;
 use super::state::{Around, Effect, Machine};
-use crate::matter::Matter;
+use crate::application::Application;
 use crate::message::{Message, Renewal};
 use crate::waiting::Waiting;
 use flaxhead_membership::{Micros, Name};
@@ -10,7 +10,7 @@
 /// How many times as often as others one that hurries may ask for leave.
 const HURRY: Micros = 12;
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     pub(super) fn renewal(&mut self, now: Micros, facts: &M::Facts) -> Renewal<M> {
         Renewal {
             process: self.me.clone(),
@@ -18,13 +18,13 @@
             knows: self.member.knows,
             version: self.kept_slate(),
             fence: self.member.fence.clone(),
-            word: self.matter.word(now, &self.member, facts),
+            word: self.application.word(now, &self.member, facts),
         }
     }
 
-    /// When it asks for leave next: regularly, or where its matter hurries as early as the pace allows.
+    /// When it asks for leave next: regularly, or where its application hurries as early as the pace allows.
     pub(super) fn next_renewal(&self) -> Micros {
-        if !(self.member.admitted && self.matter.hurries()) {
+        if !(self.member.admitted && self.application.hurries()) {
             return self.renew_at;
         }
         // A part of what was drawn for the regular pause stays in it, so that those that hurry at once do not ask in step.
--- a/accord/src/machine/orders.rs
+++ b/lease/src/machine/orders.rs
@@ -1,13 +1,13 @@
 //! The holder's steps, and the orders of operators.
 
 use super::state::{Around, Effect, Machine, Waiting};
-use crate::matter::Matter;
+use crate::application::Application;
 use crate::message::Message;
 use crate::terms::Unsettled;
 use flaxhead_membership::Name;
 use std::collections::VecDeque;
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     /// The holder does what can be done, and says so.
     pub(super) fn work(&mut self, around: &mut Around<'_, M::Facts>, out: &mut Vec<Effect<M>>) {
         let now = around.now;
--- a/accord/src/machine/recall.rs
+++ b/lease/src/machine/recall.rs
@@ -1,12 +1,12 @@
 //! What a voter that was started again asks the others.
 
 use super::state::{Around, Effect, Machine};
+use crate::application::Application;
 use crate::known::Known;
-use crate::matter::Matter;
 use crate::message::Message;
 use flaxhead_membership::Name;
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     pub(super) fn recall(&mut self, around: &mut Around<'_, M::Facts>, out: &mut Vec<Effect<M>>) {
         let Some(nonce) = self.voter.as_mut().and_then(|voter| voter.recall(around.now, &self.config)) else {
             return;
--- a/accord/src/machine/state.rs
+++ b/lease/src/machine/state.rs
@@ -2,11 +2,11 @@
 
 use super::disk::Disk;
 use super::holder::{At, Holder};
+use crate::application::Application;
 use crate::ballot::{Ballot, Told};
 use crate::config::Config;
 use crate::facts::Facts;
 use crate::hold::{Bid, Hold};
-use crate::matter::Matter;
 use crate::member::{Member, Serving};
 use crate::message::Message;
 use crate::roster::Process;
@@ -29,7 +29,7 @@
 
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Effect<M: Matter> {
+pub enum Effect<M: Application> {
     /// A message to another process.
     Send {
         /// To whom.
@@ -60,9 +60,9 @@
 
 /// One process's part in what is settled in common.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Machine<M: Matter> {
+pub struct Machine<M: Application> {
     pub(super) config: Config,
-    pub(super) matter: M,
+    pub(super) application: M,
     pub(super) voters: Voters,
     pub(super) me: Process,
     pub(super) voter: Option<Voter<M>>,
@@ -90,9 +90,9 @@
     pub(super) inbox: VecDeque<Message<M>>,
 }
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     /// A process that starts.
-    pub fn new(config: Config, matter: M, voters: Voters, me: Process, now: Micros) -> Machine<M> {
+    pub fn new(config: Config, application: M, voters: Voters, me: Process, now: Micros) -> Machine<M> {
         let voter = voters.has(&me.name).then(|| Voter::new(now, &config));
         Machine {
             bid: None,
@@ -111,14 +111,14 @@
             inbox: VecDeque::new(),
             member: Member::new(now),
             config,
-            matter,
+            application,
             voters,
             me,
             voter,
         }
     }
 
-    /// What the matter of the holder keeps, if that is this process.
+    /// What the application of the holder keeps, if that is this process.
     pub fn desk(&self, now: Micros) -> Option<&M::Desk> {
         self.holder.as_ref().filter(|holder| holder.hold.holds(now)).map(|holder| &holder.desk)
     }
@@ -138,14 +138,14 @@
         &self.config
     }
 
-    /// Its part in the matter.
-    pub fn matter(&self) -> &M {
-        &self.matter
+    /// Its part in the application.
+    pub fn application(&self) -> &M {
+        &self.application
     }
 
     /// The same, to be told what the process itself knows.
     pub fn matter_mut(&mut self) -> &mut M {
-        &mut self.matter
+        &mut self.application
     }
 
     /// What it was told, and its leave.
@@ -202,15 +202,15 @@
         facts: &'a Facts<M::Facts>,
     ) -> Option<(&'a mut Holder<M>, At<'a, M>)> {
         let holder = self.holder.as_deref_mut()?;
-        let (config, voters, me, matter) = (&self.config, &self.voters, &self.me, &self.matter);
-        Some((holder, At { now, config, voters, facts, me, matter }))
+        let (config, voters, me, application) = (&self.config, &self.voters, &self.me, &self.application);
+        Some((holder, At { now, config, voters, facts, me, application }))
     }
 
     /// Hears of a fence; whether it still counts.
     pub(super) fn hears(&mut self, fence: &Ballot) -> bool {
         let (counts, rose) = self.member.hears(fence);
         if rose {
-            self.matter.fenced(fence);
+            self.application.fenced(fence);
         }
         counts
     }
@@ -220,7 +220,7 @@
         let Some(fence) = told.version.fence.clone() else { return false };
         let taken = self.hears(&fence) && self.member.take(now, told);
         if taken {
-            self.matter.told(now, &self.member.told.slate);
+            self.application.told(now, &self.member.told.slate);
         }
         taken
     }
--- a/accord/src/machine/wait.rs
+++ b/lease/src/machine/wait.rs
@@ -1,13 +1,13 @@
 //! What a process that was started does until it is let in, and what others tell it.
 
 use super::state::{Around, Effect, Machine};
+use crate::application::Application;
 use crate::ballot::Told;
-use crate::matter::Matter;
 use crate::message::Message;
 use crate::waiting::{Reason, Waiting, Word, NAMED_MOST};
 use flaxhead_membership::{Micros, Name};
 
-impl<M: Matter> Machine<M> {
+impl<M: Application> Machine<M> {
     /// Many may start at once: what each asks first is spread over the pause between two of its questions. Voters that
     /// remember ask nobody, and would all bid in the same moment once their silence is over.
     pub(super) fn begin(&mut self, around: &mut Around<'_, M::Facts>) {
@@ -86,7 +86,7 @@
                 self.hears(&fence);
             }
             self.member.shown(now, told);
-            self.matter.told(now, &self.member.told.slate);
+            self.application.told(now, &self.member.told.slate);
         }
         self.conclude(now);
     }
@@ -96,7 +96,7 @@
         let member = &mut self.member;
         let serves = member.waiting.conclude(now, &self.config, &self.voters, own);
         if member.waiting.all_forgot(now, &self.config, &self.voters, own) {
-            self.matter.forgotten();
+            self.application.forgotten();
         }
         // What once serves is not stopped again: that ends by leave.
         member.alone |= serves;
--- a/accord/src/message.rs
+++ b/lease/src/message.rs
@@ -1,4 +1,4 @@
-//! What the processes say to each other. How it becomes bytes is the driver's matter.
+//! What the processes say to each other. How it becomes bytes is up to the driver.
 
 use crate::ballot::{Ballot, Told, Version};
 use crate::known::Known;
@@ -197,7 +197,7 @@
     pub const MOST: usize =
         HEAD_MOST + ROSTER_MOST + T::SLATE_MOST + T::WORD_MOST + T::LEAVE_MOST + T::ORDER_MOST;
 
-    /// Most bytes of this one. Whoever sends or takes a longer one drops it: it is no message of this matter.
+    /// Most bytes of this one. Whoever sends or takes a longer one drops it: it is no message of this application.
     pub fn most(&self) -> usize {
         HEAD_MOST
             + match self {
--- a/accord/src/terms.rs
+++ b/lease/src/terms.rs
@@ -1,4 +1,4 @@
-//! What a matter puts into the messages: its types, and how long each may be.
+//! What an application puts into the messages: its types, and how long each may be.
 
 use flaxhead_membership::Micros;
 use serde::de::DeserializeOwned;
@@ -11,7 +11,7 @@
 
 impl<T: Clone + Debug + Eq + Hash + Serialize + DeserializeOwned> Payload for T {}
 
-/// What is settled, as all processes are told it. A matter that tells all the same thing has one; one whose word goes
+/// What is settled, as all processes are told it. An application that tells all the same thing has one; one whose word goes
 /// to each alone takes `()`.
 pub trait Slate: Payload + Default {
     /// Time went by: spans beside the slate are counted on.
@@ -29,11 +29,11 @@
 
 impl Slate for () {}
 
-/// A payload that never is: for a matter without orders.
+/// A payload that never is: for an application without orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Never {}
 
-/// Why an order came to nothing before its matter saw it.
+/// Why an order came to nothing before its application saw it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
 pub enum Unsettled {
     /// No holder could be reached.
@@ -49,7 +49,7 @@
     TooMany(usize),
 }
 
-/// The types of a matter, and the most bytes of each as it is sent, which the driver holds on both sides.
+/// The types of an application, and the most bytes of each as it is sent, which the driver holds on both sides.
 pub trait Terms: Clone + Debug + Eq + Hash {
     /// What is settled, told to every process.
     type Slate: Slate;
@@ -61,9 +61,9 @@
     type Order: Payload;
     /// What an order led to, once it is on record.
     type Answer: Payload;
-    /// Why an order changed nothing. [`Unsettled::NoHolder`] as a matter's own refusal has the order given again.
+    /// Why an order changed nothing. [`Unsettled::NoHolder`] as an application's own refusal has the order given again.
     type Refusal: Payload + From<Unsettled>;
-    /// What the matter goes by, beside the members.
+    /// What the application goes by, beside the members.
     type Facts;
     /// A step, for the trail and the log of the holder.
     type Note: Clone + Debug + Eq + Hash;
--- a/accord/tests/matter.rs
+++ b/lease/tests/application.rs
@@ -1,9 +1,9 @@
-//! A matter without a slate or orders, at three processes in steps of virtual time: each hook is called where its
+//! An application without a slate or orders, at three processes in steps of virtual time: each hook is called where its
 //! documentation says so.
 
-use flaxhead_accord::{
-    Around, Ballot, Config, Effect, Facts, Granted, Machine, Matter, Member, MemberFact, Micros, Name, Never,
-    Presence, Process, Room, Said, Serving, Terms, Unsettled, Voters,
+use flaxhead_lease::{
+    Application, Around, Ballot, Config, Effect, Facts, Granted, Machine, Member, MemberFact, Micros, Name,
+    Never, Presence, Process, Room, Said, Serving, Terms, Unsettled, Voters,
 };
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -37,7 +37,7 @@
     const ORDER_MOST: usize = 0;
 }
 
-impl Matter for Count {
+impl Application for Count {
     type Desk = BTreeMap<Process, u32>;
 
     fn word(&mut self, now: Micros, _: &Member<Self>, (): &()) -> u32 {
@@ -129,8 +129,8 @@
     fn act(
         &mut self,
         place: usize,
-        message: Option<(Name, flaxhead_accord::Message<Count>)>,
-        on_the_way: &mut VecDeque<(Name, Name, flaxhead_accord::Message<Count>)>,
+        message: Option<(Name, flaxhead_lease::Message<Count>)>,
+        on_the_way: &mut VecDeque<(Name, Name, flaxhead_lease::Message<Count>)>,
     ) {
         if self.gone.contains(&place) {
             return;
@@ -174,7 +174,7 @@
     let first = net.holder();
     for machine in &net.machines {
         assert_eq!(machine.serving(), Serving::Admitted);
-        let Count { granted, fences, .. } = machine.matter();
+        let Count { granted, fences, .. } = machine.application();
         assert!(granted.iter().all(|(_, stamp, until, _)| *until == stamp + LEASE), "{granted:?}");
         // Each word was counted once, and what the holder made of them came with the leaves.
         assert!(granted.windows(2).all(|two| two[1].3 == two[0].3 + 7), "{granted:?}");
@@ -187,7 +187,7 @@
     // Who parted is heard of, and all others are heard anew: each of their first words is marked.
     assert!(net.notes.contains(&("parted", process(first))), "{:?}", net.notes);
     for (place, machine) in net.machines.iter().enumerate().filter(|(place, _)| *place != first) {
-        let Count { granted, fences, .. } = machine.matter();
+        let Count { granted, fences, .. } = machine.application();
         assert_eq!(granted.last().map(|(ballot, ..)| &ballot.name), Some(&name(second)), "{place}");
         assert_eq!(fences.last().map(|fence| &fence.name), Some(&name(second)));
     }
@@ -201,9 +201,9 @@
     let mut hurried = Vec::new();
     for _ in 0..2 * LEASE / STEP {
         net.machines[3].matter_mut().hurries = true;
-        let words = net.machines[3].matter().words.len();
+        let words = net.machines[3].application().words.len();
         net.play(STEP);
-        hurried.extend(net.machines[3].matter().words[words..].to_vec());
+        hurried.extend(net.machines[3].application().words[words..].to_vec());
     }
     let pauses: Vec<Micros> = hurried.windows(2).map(|two| two[1] - two[0]).collect();
     assert!(pauses.iter().all(|pause| *pause >= regular / 12), "{pauses:?}");
--- a/accord/tests/stale.rs
+++ b/lease/tests/stale.rs
@@ -1,9 +1,9 @@
 //! Decisions that come too late, to another process, or from a time that is not yet: none changes anything. Each is shown
 //! beside the same decision in time, which does.
 
-use flaxhead_accord::{
-    Around, Ballot, Config, Facts, Granted, Known, Machine, Matter, Member, Message, Micros, Name, Never,
-    Process, Room, Serving, Terms, Told, Unsettled, Version, Voters, Word,
+use flaxhead_lease::{
+    Application, Around, Ballot, Config, Facts, Granted, Known, Machine, Member, Message, Micros, Name,
+    Never, Process, Room, Serving, Terms, Told, Unsettled, Version, Voters, Word,
 };
 use rand_pcg::Pcg32;
 use std::collections::BTreeSet;
@@ -27,7 +27,7 @@
     const ORDER_MOST: usize = 0;
 }
 
-impl Matter for Leaves {
+impl Application for Leaves {
     type Desk = ();
 
     fn word(&mut self, _: Micros, _: &Member<Self>, _: &()) {}
@@ -77,7 +77,7 @@
         let (remembers, leave) = (true, 5);
         ("a", Message::Granted { ballot: ballot(round), life, stamp, remembers, leave })
     };
-    let took = |messages| after(messages).matter().0.len();
+    let took = |messages| after(messages).application().0.len();
     assert_eq!(took(vec![granted(1, LIFE, NOW)]), 1);
     assert_eq!(took(vec![granted(1, LIFE - 1, NOW)]), 0, "to the process before it with this name");
     assert_eq!(
--- a/membership/src/packet.rs
+++ b/membership/src/packet.rs
@@ -1,4 +1,4 @@
-//! What members say to each other. How it becomes bytes is the driver's matter.
+//! What members say to each other. How it becomes bytes is up to the driver.
 
 use crate::name::{Name, Stamp};
 use crate::table::{Cause, State};
--- a/peers/src/driver.rs
+++ b/peers/src/driver.rs
@@ -141,7 +141,7 @@
         look(&self.0.machine.borrow(), self.now())
     }
 
-    /// Sends what a rider says to a member, as a datagram where it fits into one. What is lost is the rider's matter.
+    /// Sends what a rider says to a member, as a datagram where it fits into one. What is lost is up to the rider.
     pub fn post(&self, channel: Channel, to: &Name, body: &[u8]) {
         let (at, bytes) = {
             let machine = self.0.machine.borrow();
--- a/proxy/src/features/peers.rs
+++ b/proxy/src/features/peers.rs
@@ -2,7 +2,7 @@
 
 use super::bounds::{bytes, port};
 use super::sections::{Problem, Section};
-use flaxhead_accord::Voters;
+use flaxhead_lease::Voters;
 use flaxhead_membership::{Config, Name};
 use flaxhead_peers::Settings;
 use ipnet::IpNet;
--- a/proxy/src/features/shares/mod.rs
+++ b/proxy/src/features/shares/mod.rs
@@ -16,7 +16,7 @@
 use flaxhead_peers::{Channel, Peers};
 use flaxhead_ride::{Disk, Ride};
 use flaxhead_shares::gate::{Class, Rules};
-use flaxhead_shares::{Book, Held, Pace, Shares as Matter};
+use flaxhead_shares::{Book, Held, Pace, Shares as Application};
 use ride::Keeper;
 use std::rc::Rc;
 
@@ -27,7 +27,7 @@
     pub lines: Lines,
     book: Book,
     /// `None`: nothing is settled with anybody, and the own parts are all.
-    ride: Option<Ride<Matter>>,
+    ride: Option<Ride<Application>>,
 }
 
 impl Shares {
@@ -37,7 +37,7 @@
         settings: Settings,
         config: &Config,
         peers: Option<Peers>,
-        disk: Option<Disk<Matter>>,
+        disk: Option<Disk<Application>>,
     ) -> Result<Shares, Misfit> {
         let book = settings.book(config)?;
         let class = |class: &flaxhead_policy::Class| Class { aim: class.aim, deadline: class.deadline };
@@ -57,9 +57,9 @@
         }
         let lines = Lines::new(rules, held.allowance(0), peers.is_some());
         let ride = peers.map(|peers| {
-            let (channel, voters, config_of) = (Channel::SHARES, settings.voters, Matter::config(&pace));
-            let matter = Matter::new(0, book.clone(), pace);
-            let settings = flaxhead_ride::Settings { channel, voters, config: config_of, matter };
+            let (channel, voters, config_of) = (Channel::SHARES, settings.voters, Application::config(&pace));
+            let application = Application::new(0, book.clone(), pace);
+            let settings = flaxhead_ride::Settings { channel, voters, config: config_of, application };
             Ride::start(settings, peers, config.seed.rotate_left(48), disk)
         });
         Ok(Shares { lines, book, ride })
--- a/proxy/src/features/shares/ride.rs
+++ b/proxy/src/features/shares/ride.rs
@@ -3,8 +3,8 @@
 use super::super::hosts::{Fact, Known};
 use super::lines::Lines;
 use crate::http::Engine;
-use flaxhead_accord::{Ballot, Machine};
 use flaxhead_engine::Health;
+use flaxhead_lease::{Ballot, Machine};
 use flaxhead_ride::{Clock, Ride, Side};
 use flaxhead_shares::{Allowance, Host, Seat, Shares, Usage};
 use std::cell::{Cell, RefCell};
@@ -70,20 +70,20 @@
         self.known.facts(&self.engine, fact).collect()
     }
 
-    fn before(&self, matter: &mut Shares) {
+    fn before(&self, application: &mut Shares) {
         let now = self.clock.get().map_or(0, Clock::now);
         let (attempts, turned_away) = self.known.attempts();
         let usage = Usage { tenants: self.lines.usage(), attempts, turned_away };
         self.lines.told();
-        matter.use_now(now, usage);
+        application.use_now(now, usage);
         // Before the next word confirms it, what was granted is gone by.
-        let allowance = matter.allowance(now);
-        self.allow(allowance, matter.seat());
+        let allowance = application.allowance(now);
+        self.allow(allowance, application.seat());
     }
 
     fn after(&self, machine: &Machine<Shares>, clock: Clock) {
         self.clock.set(Some(clock));
-        let fence = machine.matter().fence().map(|stamp| &stamp.ballot);
+        let fence = machine.application().fence().map(|stamp| &stamp.ballot);
         if self.fence.borrow().as_ref() != fence {
             self.fence.replace(fence.cloned());
             match fence {
--- a/proxy/src/features/shares/shown.rs
+++ b/proxy/src/features/shares/shown.rs
@@ -2,7 +2,7 @@
 
 use super::lines::Lines;
 use flaxhead_ride::Ride;
-use flaxhead_shares::{gate, Book, Seat, Shares as Matter, Units, View};
+use flaxhead_shares::{gate, Book, Seat, Shares as Application, Units, View};
 use html_escape::encode_safe;
 use serde::Serialize;
 use std::fmt::Write;
@@ -52,11 +52,11 @@
 }
 
 impl Shown {
-    pub(super) fn new(book: &Book, lines: &Lines, ride: Option<&Ride<Matter>>) -> Shown {
+    pub(super) fn new(book: &Book, lines: &Lines, ride: Option<&Ride<Application>>) -> Shown {
         let (seat, granted_by, fleet) = ride.map_or((Seat::Has, None, None), |ride| {
             ride.look(|machine, now| {
                 let view = machine.desk(now).map(|ledger| ledger.view(now));
-                (machine.matter().seat(), machine.standing(now).holder, view)
+                (machine.application().seat(), machine.standing(now).holder, view)
             })
         });
         let (gates, allowance) = lines.shown();
--- a/proxy/src/features/state.rs
+++ b/proxy/src/features/state.rs
@@ -4,8 +4,8 @@
 use super::sections::{Problem, Section};
 use crate::config::Config;
 use crate::http::Http;
-use flaxhead_accord::Matter;
 use flaxhead_engine::{Health, Host, List, Note, Observer, View};
+use flaxhead_lease::Application;
 use flaxhead_state::{disk, AsOf, Keeper, Mine, Opened, Part, Recollection, Refusal, Start};
 use flaxhead_work::Disk;
 use serde::{Deserialize, Serialize};
@@ -112,8 +112,12 @@
         Watch { memory: self.clone(), hosts: BTreeMap::new(), unfit: false }
     }
 
-    /// Keeps what is settled in common of one matter under this name, and takes up what is recollected of it.
-    pub fn matter<M: Matter>(&self, name: &'static str, found: Option<&mut Recollection>) -> Disk<M> {
+    /// Keeps what is settled in common of one application under this name, and takes up what is recollected of it.
+    pub fn application<M: Application>(
+        &self,
+        name: &'static str,
+        found: Option<&mut Recollection>,
+    ) -> Disk<M> {
         let (disk, refusal) = Disk::new(self.keeper.clone(), name, found);
         match (refusal, disk.age()) {
             (Some(refusal), _) => tracing::info!("state: the file {refusal}. It counts as forgotten"),
--- a/proxy/src/features/work.rs
+++ b/proxy/src/features/work.rs
@@ -6,8 +6,8 @@
 use super::peers::voters;
 use super::sections::{Problem, Section};
 use crate::http::Engine;
-use flaxhead_accord::{Config, Micros};
 use flaxhead_engine::{Health, List, News, Source, Watching};
+use flaxhead_lease::{Config, Micros};
 use flaxhead_turns::{HostFact, HostFacts, Limits, Rules, Step, Usage};
 use flaxhead_work::{Hosts, Settings};
 use std::cell::Cell;
@@ -22,7 +22,7 @@
 /// Memory of the calls in hand.
 const LOAD_MEMORY: f64 = 10.0;
 
-/// What `[work]` says; the longest request is the configuration's matter.
+/// What `[work]` says; the longest request comes from the configuration.
 pub fn read(section: &mut Section) -> Result<Settings, Problem> {
     let voters = voters(section)?;
     let (mut config, mut rules) = (Config::default(), Rules::default());
--- a/proxy/src/side.rs
+++ b/proxy/src/side.rs
@@ -92,7 +92,7 @@
         let work = features.work.zip(peers.clone()).map(|(mut settings, peers)| {
             let longest = config.settings.classes.iter().map(|class| class.deadline).max();
             settings.config.longest_call = longest.unwrap_or(settings.config.longest_call);
-            let disk = memory.as_ref().map(|memory| memory.matter("turns", recollection.as_mut()));
+            let disk = memory.as_ref().map(|memory| memory.application("turns", recollection.as_mut()));
             Work::start(settings, peers, config.seed.rotate_left(32), disk)
         });
         let (access, dumps, board) = (features.access, dumps.transpose()?, Shared::default());
@@ -102,7 +102,7 @@
             Side { status, board, trail, recorder, peers, work, hosts, shares, memory, access, dumps };
         config.side_descriptors = side.descriptors();
         let shares = features.shares.map(|settings| {
-            let disk = side.memory.as_ref().map(|memory| memory.matter("shares", recollection.as_mut()));
+            let disk = side.memory.as_ref().map(|memory| memory.application("shares", recollection.as_mut()));
             Shares::open(settings, config, side.peers.clone(), disk)
         });
         side.shares = shares.transpose().map_err(|misfit| misfit.to_string())?;
--- a/ride/src/disk.rs
+++ b/ride/src/disk.rs
@@ -1,6 +1,6 @@
 //! What a ride keeps on a disk over a restart, and what of it the disk has.
 
-use flaxhead_accord::{Machine, Mark, Matter, Memory, Micros};
+use flaxhead_lease::{Application, Machine, Mark, Memory, Micros};
 use flaxhead_state::{AsOf, Keeper, Part, Recollection, Refusal};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -13,9 +13,9 @@
 /// Most memories that wait for the disk; those between them are passed over.
 const WAIT_MOST: usize = 16;
 
-/// Where a matter's memory is kept.
+/// Where an application's memory is kept.
 #[derive(Debug)]
-pub struct Disk<M: Matter> {
+pub struct Disk<M: Application> {
     keeper: Keeper,
     name: &'static str,
     found: Option<(Memory<M>, Micros)>,
@@ -25,8 +25,8 @@
     unfit: bool,
 }
 
-impl<M: Matter> Disk<M> {
-    /// A matter's memory under this name, with what is recollected of it. Why nothing is, the other value says: it
+impl<M: Application> Disk<M> {
+    /// An application's memory under this name, with what is recollected of it. Why nothing is, the other value says: it
     /// counts as forgotten then.
     pub fn new(
         keeper: Keeper,
--- a/ride/src/driver.rs
+++ b/ride/src/driver.rs
@@ -3,8 +3,8 @@
 use crate::disk::Disk;
 use crate::side::{Clock, Side};
 use crate::{members, wire};
-use flaxhead_accord::{
-    Around, Config, Effect, Facts, Machine, Matter, Micros, Name, Process, Serving, Unsettled, Voters,
+use flaxhead_lease::{
+    Application, Around, Config, Effect, Facts, Machine, Micros, Name, Process, Serving, Unsettled, Voters,
 };
 use flaxhead_peers::{Channel, Peers, Rider};
 use rand_core::SeedableRng;
@@ -21,22 +21,22 @@
 /// How old what is known of hosts and members may be when something is decided.
 const FRESH: Duration = Duration::from_millis(50);
 
-/// How a matter is settled at one process.
+/// How an application is settled at one process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings<M> {
-    /// What tells its messages from those of other matters.
+    /// What tells its messages from those of other applications.
     pub channel: Channel,
     /// Who grants leases.
     pub voters: Voters,
     /// Spans of the lease.
     pub config: Config,
-    /// The matter.
-    pub matter: M,
+    /// The application.
+    pub application: M,
 }
 
-type Ordered<M> = Result<<M as flaxhead_accord::Terms>::Answer, <M as flaxhead_accord::Terms>::Refusal>;
+type Ordered<M> = Result<<M as flaxhead_lease::Terms>::Answer, <M as flaxhead_lease::Terms>::Refusal>;
 
-struct Inner<M: Matter> {
+struct Inner<M: Application> {
     peers: Peers,
     channel: Channel,
     machine: RefCell<Machine<M>>,
@@ -55,32 +55,32 @@
     dropped: Cell<u64>,
 }
 
-/// One process's part in a matter, shared by the tasks of one thread.
-pub struct Ride<M: Matter>(Rc<Inner<M>>);
+/// One process's part in an application, shared by the tasks of one thread.
+pub struct Ride<M: Application>(Rc<Inner<M>>);
 
-impl<M: Matter> Clone for Ride<M> {
+impl<M: Application> Clone for Ride<M> {
     fn clone(&self) -> Self {
         Ride(self.0.clone())
     }
 }
 
-impl<M: Matter> fmt::Debug for Ride<M> {
+impl<M: Application> fmt::Debug for Ride<M> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "Ride of {} on {:?}", self.0.machine.borrow().me().name, self.0.channel)
     }
 }
 
-impl<M: Matter + 'static> Ride<M>
+impl<M: Application + 'static> Ride<M>
 where
     M::Facts: Default + 'static,
 {
     /// Rides on these peers, and remembers on the disk, where there is one. `seed` is new with each start, and another
-    /// for each matter.
+    /// for each application.
     pub fn start(settings: Settings<M>, peers: Peers, seed: u64, disk: Option<Disk<M>>) -> Ride<M> {
         let me = peers.look(|machine, _| machine.table().me().clone());
         let me = Process { name: me.name, life: me.stamp.life, at: me.at };
-        let Settings { channel, voters, config, matter } = settings;
-        let machine = Machine::new(config, matter, voters, me, 0);
+        let Settings { channel, voters, config, application } = settings;
+        let machine = Machine::new(config, application, voters, me, 0);
         let (looked, side, waiting, stirred): (_, _, _, Arc<Notify>) = Default::default();
         let (machine, disk) = match disk {
             Some(mut disk) => {
@@ -238,7 +238,7 @@
     }
 }
 
-impl<M: Matter + 'static> Rider for Ride<M>
+impl<M: Application + 'static> Rider for Ride<M>
 where
     M::Facts: Default + 'static,
 {
--- a/ride/src/lib.rs
+++ b/ride/src/lib.rs
@@ -1,7 +1,7 @@
-//! The driver of a matter that the proxies settle in common: it owns the timers, puts messages into bytes within the
-//! matter's bounds, gathers what the process knows of members, and has [`flaxhead_accord::Machine`] decide everything. It
+//! The driver of an application that the proxies settle in common: it owns the timers, puts messages into bytes within the
+//! application's bounds, gathers what the process knows of members, and has [`flaxhead_lease::Machine`] decide everything. It
 //! rides on the sockets of [`flaxhead_peers`], on a [`Channel`] of its own, on the thread that it is started on. Where a
-//! process takes part in several matters, each has a ride, and they share nothing but the sockets.
+//! process takes part in several applications, each has a ride, and they share nothing but the sockets.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/ride/src/members.rs
+++ b/ride/src/members.rs
@@ -1,6 +1,6 @@
 //! The membership, as what is settled in common goes by it.
 
-use flaxhead_accord::{MemberFact, Presence};
+use flaxhead_lease::{MemberFact, Presence};
 use flaxhead_membership::{Cause, Machine, Member, Micros, Name, State};
 use std::collections::BTreeMap;
 
--- a/ride/src/side.rs
+++ b/ride/src/side.rs
@@ -1,6 +1,6 @@
-//! What the process brings to a matter, and what it does by it.
+//! What the process brings to an application, and what it does by it.
 
-use flaxhead_accord::{Ballot, Machine, Matter, Micros};
+use flaxhead_lease::{Application, Ballot, Machine, Micros};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -24,13 +24,13 @@
     }
 }
 
-/// A process's side of a matter. None of its methods may wait, or call the ride.
-pub trait Side<M: Matter> {
-    /// What the matter goes by; asked for some twenty times a second at the most.
+/// A process's side of an application. None of its methods may wait, or call the ride.
+pub trait Side<M: Application> {
+    /// What the application goes by; asked for some twenty times a second at the most.
     fn facts(&self) -> M::Facts;
     /// Before the machine does anything: what only the process knows.
-    fn before(&self, matter: &mut M) {
-        let _ = matter;
+    fn before(&self, application: &mut M) {
+        let _ = application;
     }
     /// After the machine did something, and before anybody hears of it: what it decided takes effect here.
     fn after(&self, machine: &Machine<M>, clock: Clock);
--- a/ride/src/wire.rs
+++ b/ride/src/wire.rs
@@ -1,11 +1,11 @@
-//! Messages as bytes, none longer than its matter says.
+//! Messages as bytes, none longer than its application says.
 
-use flaxhead_accord::{Matter, Message};
+use flaxhead_lease::{Application, Message};
 
 /// Why a message is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Unfit {
-    /// Longer than its matter allows.
+    /// Longer than its application allows.
     #[error(
         "it is longer than what is settled allows: see whether names and texts in the settings are that long"
     )]
@@ -16,7 +16,7 @@
 }
 
 /// A message as bytes.
-pub(crate) fn encode<M: Matter>(message: &Message<M>) -> Result<Vec<u8>, Unfit> {
+pub(crate) fn encode<M: Application>(message: &Message<M>) -> Result<Vec<u8>, Unfit> {
     let bytes = postcard::to_allocvec(message).map_err(|_| Unfit::Malformed)?;
     if bytes.len() > message.most() {
         return Err(Unfit::Long);
@@ -25,7 +25,7 @@
 }
 
 /// Bytes as a message.
-pub(crate) fn decode<M: Matter>(bytes: &[u8]) -> Result<Message<M>, Unfit> {
+pub(crate) fn decode<M: Application>(bytes: &[u8]) -> Result<Message<M>, Unfit> {
     if bytes.len() > Message::<M>::MOST {
         return Err(Unfit::Long);
     }
--- a/ride/src/wire/tests.rs
+++ b/ride/src/wire/tests.rs
@@ -1,7 +1,7 @@
 //! Unit tests of `wire`.
 
 use super::*;
-use flaxhead_accord::{Ballot, Member, Micros, Name, Never, Process, Room, Terms, Unsettled};
+use flaxhead_lease::{Ballot, Member, Micros, Name, Never, Process, Room, Terms, Unsettled};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Words;
@@ -21,7 +21,7 @@
     const ORDER_MOST: usize = 0;
 }
 
-impl Matter for Words {
+impl Application for Words {
     type Desk = ();
 
     fn word(&mut self, _: Micros, _: &Member<Self>, (): &()) -> String {
--- a/shares/src/allowance.rs
+++ b/shares/src/allowance.rs
@@ -1,6 +1,6 @@
 //! What one process may have in hand now: the one thing that passes from what is settled to the gate.
 
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 use serde::{Deserialize, Serialize};
 
 /// What a process may have in hand of one tenant.
--- a/shares/src/matter.rs
+++ b/shares/src/application.rs
@@ -7,21 +7,21 @@
 use crate::ledger::Ledger;
 use crate::pace::Pace;
 use crate::word::{Leave, Seat, Stamp, Usage, Word};
-use flaxhead_accord::{
-    Ballot, Config, Granted, Matter, Member, MemberFact, Micros, Name, Never, Presence, Process, Room, Said,
-    Terms, Unsettled,
+use flaxhead_lease::{
+    Application, Ballot, Config, Granted, Member, MemberFact, Micros, Name, Never, Presence, Process, Room,
+    Said, Terms, Unsettled,
 };
 
 /// One process's part.
-pub type Machine = flaxhead_accord::Machine<Shares>;
+pub type Machine = flaxhead_lease::Machine<Shares>;
 /// What one process says to another.
-pub type Message = flaxhead_accord::Message<Shares>;
+pub type Message = flaxhead_lease::Message<Shares>;
 /// What is to be done.
-pub type Effect = flaxhead_accord::Effect<Shares>;
+pub type Effect = flaxhead_lease::Effect<Shares>;
 /// What a process is given with everything that happens.
-pub type Around<'a> = flaxhead_accord::Around<'a, Vec<Host>>;
+pub type Around<'a> = flaxhead_lease::Around<'a, Vec<Host>>;
 /// What a process knows from elsewhere.
-pub type Facts = flaxhead_accord::Facts<Vec<Host>>;
+pub type Facts = flaxhead_lease::Facts<Vec<Host>>;
 
 /// The shares, as one process takes part in them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -111,7 +111,7 @@
     const ORDER_MOST: usize = 0;
 }
 
-impl Matter for Shares {
+impl Application for Shares {
     type Desk = Ledger;
 
     fn word(&mut self, now: Micros, _: &Member<Self>, _: &Vec<Host>) -> Word {
--- a/shares/src/capacity.rs
+++ b/shares/src/capacity.rs
@@ -6,7 +6,7 @@
 //! Computer Networks and ISDN Systems 17, 1989).
 
 use crate::book::Book;
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// The whole, in thousandths.
 const WHOLE: u32 = 1_000;
--- a/shares/src/held.rs
+++ b/shares/src/held.rs
@@ -4,7 +4,7 @@
 use crate::book::Book;
 use crate::pace::Pace;
 use crate::word::{Deal, Leave, Seat, Stamp, Usage, Word};
-use flaxhead_accord::{Ballot, Micros};
+use flaxhead_lease::{Ballot, Micros};
 use std::collections::BTreeMap;
 
 /// What counts until a moment.
--- a/shares/src/ledger/aims.rs
+++ b/shares/src/ledger/aims.rs
@@ -3,7 +3,7 @@
 use super::entry::Entry;
 use super::Ledger;
 use crate::divide::{settle, settle_tenants, Want};
-use flaxhead_accord::{Micros, Process};
+use flaxhead_lease::{Micros, Process};
 use std::collections::BTreeMap;
 
 /// It is made anew at most so many times in a lease.
--- a/shares/src/ledger/entry.rs
+++ b/shares/src/ledger/entry.rs
@@ -3,7 +3,7 @@
 use crate::book::Book;
 use crate::pace::Pace;
 use crate::word::{Deal, Seat, Stamp, Use, Word};
-use flaxhead_accord::{Ballot, Micros};
+use flaxhead_lease::{Ballot, Micros};
 use std::collections::VecDeque;
 
 /// Leaves that were told and not confirmed; until one of them is, the last is told again.
--- a/shares/src/ledger/mod.rs
+++ b/shares/src/ledger/mod.rs
@@ -11,7 +11,7 @@
 use crate::word::{Leave, Seat, Use, Word};
 use aims::Aims;
 use entry::Entry;
-use flaxhead_accord::{Ballot, Micros, Process};
+use flaxhead_lease::{Ballot, Micros, Process};
 use std::collections::{BTreeMap, BTreeSet};
 use terms::Agreed;
 
--- a/shares/src/ledger/seats.rs
+++ b/shares/src/ledger/seats.rs
@@ -3,7 +3,7 @@
 use super::entry::Entry;
 use super::Ledger;
 use crate::word::Seat;
-use flaxhead_accord::{Name, Process};
+use flaxhead_lease::{Name, Process};
 use std::collections::BTreeSet;
 
 impl Ledger {
--- a/shares/src/lib.rs
+++ b/shares/src/lib.rs
@@ -11,25 +11,25 @@
 #![warn(missing_docs)]
 
 mod allowance;
+mod application;
 mod book;
 mod capacity;
 pub mod divide;
 pub mod gate;
 mod held;
 mod ledger;
-mod matter;
 mod pace;
 mod view;
 mod word;
 
 pub use allowance::{Allowance, Units};
+pub use application::{Around, Effect, Facts, Machine, Message, Shares};
 pub use book::{Book, BookError, Tenant, Terms, OTHERS};
 pub use capacity::{carried, Host, Learned};
 pub use held::Held;
 pub use ledger::Ledger;
-pub use matter::{Around, Effect, Facts, Machine, Message, Shares};
 pub use pace::Pace;
 pub use view::{HolderRow, TenantRow, View};
 pub use word::{Deal, Leave, Seat, Stamp, Usage, Use, Word};
 
-pub use flaxhead_accord::{Ballot, Micros, Name, Process};
+pub use flaxhead_lease::{Ballot, Micros, Name, Process};
--- a/shares/src/pace.rs
+++ b/shares/src/pace.rs
@@ -1,6 +1,6 @@
 //! Spans that the holder and the processes go by.
 
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// Clocks of two machines run apart by less than one part in this many.
 const DRIFT: Micros = 64;
--- a/shares/src/view.rs
+++ b/shares/src/view.rs
@@ -1,7 +1,7 @@
 //! What there is to show to operators.
 
 use crate::ledger::Ledger;
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 use serde::{Deserialize, Serialize};
 
 /// Who has some of a tenant's units.
--- a/shares/src/word.rs
+++ b/shares/src/word.rs
@@ -1,7 +1,7 @@
 //! What a process and the holder say to each other along with the renewal of leave.
 
 use crate::book::Tenant;
-use flaxhead_accord::{Ballot, Micros};
+use flaxhead_lease::{Ballot, Micros};
 use serde::{Deserialize, Serialize};
 
 /// Which of two leaves is newer: by the holder, then by its count for this process.
--- a/shares/tests/disks.rs
+++ b/shares/tests/disks.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use flaxhead_accord::Voters;
+use flaxhead_lease::Voters;
 use flaxhead_shares::{Around, Effect, Facts, Machine, Message, Name, Pace, Process, Shares};
 use fleet::{site, Fleet, Mode, Plan, SECOND};
 use rand_core::SeedableRng;
--- a/shares/tests/fleet/mod.rs
+++ b/shares/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 
 pub use sites::{site, Site};
 
-use flaxhead_accord::{Config, MemberFact, Memory, Presence, Voters};
+use flaxhead_lease::{Config, MemberFact, Memory, Presence, Voters};
 use flaxhead_shares::{
     Allowance, Book, Facts, Host, Machine, Message, Micros, Name, Pace, Process, Shares, Terms,
 };
@@ -280,7 +280,7 @@
     fn wake(&mut self, place: usize) {
         let local = self.local(place);
         let Some(machine) = &self.places[place].machine else { return };
-        let shares = machine.matter();
+        let shares = machine.application();
         let wake = machine.next_wake().min(shares.next_change(local).unwrap_or(Micros::MAX));
         let after = wake.min(shares.word_wanted().max(local + 5_000)).saturating_sub(local).max(1_000);
         let at = self.now + after;
--- a/shares/tests/model/world.rs
+++ b/shares/tests/model/world.rs
@@ -1,6 +1,6 @@
 //! The processes, what is on the way between them, and what goes wrong; a step at a time.
 
-use flaxhead_accord::{Ballot, Known, Never, Presence, Voters};
+use flaxhead_lease::{Ballot, Known, Never, Presence, Voters};
 use flaxhead_rig::{Bounds, Fixed, Fleet as _, Lasting, Letter};
 use flaxhead_shares::{
     Allowance, Around, Book, Facts, Machine, Message, Micros, Name, Pace, Process, Seat, Shares, Terms,
@@ -192,7 +192,7 @@
                 word.usage.tenants.iter_mut().for_each(|tenant| tenant.in_hand = 0);
             }
             (Message::Granted { ballot, leave, .. }, Broken::Fence) => {
-                let fence = world.nodes[to].matter().fence();
+                let fence = world.nodes[to].application().fence();
                 let newest = fence.filter(|fence| fence.ballot == *ballot).map_or(0, |fence| fence.seq);
                 leave.seq = leave.seq.max(newest);
             }
@@ -211,8 +211,9 @@
         let used = (0..world.nodes.len())
             .map(|node| in_hand(world, node).max(may(world, self.broken, node)))
             .sum::<u32>();
-        let seats =
-            (0..world.nodes.len()).filter(|node| world.nodes[*node].matter().seat() == Seat::Has).count();
+        let seats = (0..world.nodes.len())
+            .filter(|node| world.nodes[*node].application().seat() == Seat::Has)
+            .count();
         let wrong = [
             (holding.len() > 1, "two hold at once"),
             (used > self.site.cap, "more than the cap may be used or is in hand"),
@@ -223,7 +224,7 @@
 }
 
 impl flaxhead_rig::Fleet for Fleet {
-    type Matter = Shares;
+    type Application = Shares;
     type Own = Calls;
     type Found = Never;
 
--- a/state/src/snapshot.rs
+++ b/state/src/snapshot.rs
@@ -35,7 +35,7 @@
     pub written: Moment,
 }
 
-/// A part, as it is written. What its bytes mean is its owner's matter.
+/// A part, as it is written. What its bytes mean is up to its owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
     /// Its name, at most [`NAME_MOST`] bytes.
--- a/turns/src/matter.rs
+++ b/turns/src/application.rs
@@ -5,9 +5,9 @@
 use crate::order::{Answer, Order, Refusal};
 use crate::spare::spared_from;
 use crate::turns::{Turns, Word};
-use flaxhead_accord::{Matter, Member, Micros, Process, Room};
+use flaxhead_lease::{Application, Member, Micros, Process, Room};
 
-impl Matter for Turns {
+impl Application for Turns {
     /// All that the holder must keep is on the board, and in the words of the processes.
     type Desk = ();
 
--- a/turns/src/ask.rs
+++ b/turns/src/ask.rs
@@ -1,6 +1,6 @@
 //! What operators ask for.
 
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 use serde::{Deserialize, Serialize};
 
 /// A host that shall be worked at.
--- a/turns/src/board.rs
+++ b/turns/src/board.rs
@@ -2,7 +2,7 @@
 
 use crate::ask::Ask;
 use crate::stage::{End, Stage};
-use flaxhead_accord::{Micros, Slate};
+use flaxhead_lease::{Micros, Slate};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
--- a/turns/src/desk/orders.rs
+++ b/turns/src/desk/orders.rs
@@ -5,7 +5,7 @@
 use crate::board::Turn;
 use crate::order::{Answer, Order, Refusal};
 use crate::stage::{End, Stage};
-use flaxhead_accord::{Presence, Process};
+use flaxhead_lease::{Presence, Process};
 
 impl Desk<'_, '_> {
     /// Takes an order; the answer counts once it is on record.
--- a/turns/src/desk/settle.rs
+++ b/turns/src/desk/settle.rs
@@ -3,7 +3,7 @@
 use super::state::Desk;
 use crate::plan::{Obstacle, Scene};
 use crate::stage::Stage;
-use flaxhead_accord::{MemberFact, Name, Presence};
+use flaxhead_lease::{MemberFact, Name, Presence};
 use std::collections::BTreeSet;
 
 impl Desk<'_, '_> {
--- a/turns/src/desk/state.rs
+++ b/turns/src/desk/state.rs
@@ -4,7 +4,7 @@
 use crate::limits::Rules;
 use crate::stage::Stage;
 use crate::turns::{Step, Turns};
-use flaxhead_accord::Room;
+use flaxhead_lease::Room;
 
 /// The holder, with the rules of the turns.
 pub(crate) struct Desk<'a, 'b> {
--- a/turns/src/desk/steps.rs
+++ b/turns/src/desk/steps.rs
@@ -3,7 +3,7 @@
 use super::state::Desk;
 use crate::board::Turn;
 use crate::stage::{End, Stage};
-use flaxhead_accord::{Config, Process};
+use flaxhead_lease::{Config, Process};
 
 impl Desk<'_, '_> {
     /// Does what can be done.
--- a/turns/src/lib.rs
+++ b/turns/src/lib.rs
@@ -1,5 +1,5 @@
 //! Which host is taken out for work next, as the client proxies settle it among themselves: what is settled under a
-//! lease of [`flaxhead_accord`], as its [`flaxhead_accord::Matter`]; no I/O, no clock.
+//! lease of [`flaxhead_lease`], as its [`flaxhead_lease::Application`]; no I/O, no clock.
 //!
 //! The [`Board`] holds all turns. **Every** process on the roster has heard it before a host is told free. A turn is
 //! settled, drains, is out and free, and comes back; the holder moves it on ([`Turns`]), and each process leaves alone
@@ -7,12 +7,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod application;
 mod ask;
 mod board;
 mod desk;
 mod facts;
 mod limits;
-mod matter;
 mod order;
 mod plan;
 mod spare;
@@ -32,12 +32,12 @@
 pub use view::{view, MemberRow, TurnRow, View};
 
 /// One process's part in the turns.
-pub type Machine = flaxhead_accord::Machine<Turns>;
+pub type Machine = flaxhead_lease::Machine<Turns>;
 /// What one process says to another.
-pub type Message = flaxhead_accord::Message<Turns>;
+pub type Message = flaxhead_lease::Message<Turns>;
 /// What is to be done.
-pub type Effect = flaxhead_accord::Effect<Turns>;
+pub type Effect = flaxhead_lease::Effect<Turns>;
 /// What a process knows from elsewhere.
-pub type Facts = flaxhead_accord::Facts<HostFacts>;
+pub type Facts = flaxhead_lease::Facts<HostFacts>;
 /// What a process is given with everything that happens.
-pub type Around<'a> = flaxhead_accord::Around<'a, HostFacts>;
+pub type Around<'a> = flaxhead_lease::Around<'a, HostFacts>;
--- a/turns/src/limits.rs
+++ b/turns/src/limits.rs
@@ -1,6 +1,6 @@
 //! What may be out, and how long things may take.
 
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// What may be out at once, as the operators say.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/turns/src/order.rs
+++ b/turns/src/order.rs
@@ -2,7 +2,7 @@
 
 use crate::ask::Ask;
 use crate::stage::{End, Stage};
-use flaxhead_accord::{Micros, Unsettled};
+use flaxhead_lease::{Micros, Unsettled};
 use serde::{Deserialize, Serialize};
 
 /// Most characters of a name, a kind of work or an operator.
--- a/turns/src/spare.rs
+++ b/turns/src/spare.rs
@@ -2,7 +2,7 @@
 
 use crate::stage::Stage;
 use crate::turns::Turns;
-use flaxhead_accord::{Machine, Member, Micros, Serving};
+use flaxhead_lease::{Machine, Member, Micros, Serving};
 use std::collections::BTreeSet;
 
 /// From when on nothing new goes to a host; `None`: it may for as long as nothing else is said.
--- a/turns/src/turns.rs
+++ b/turns/src/turns.rs
@@ -4,7 +4,7 @@
 use crate::facts::HostFacts;
 use crate::limits::Rules;
 use crate::order::{Answer, Order, Refusal};
-use flaxhead_accord::Terms;
+use flaxhead_lease::Terms;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/turns/src/view.rs
+++ b/turns/src/view.rs
@@ -3,7 +3,7 @@
 use crate::board::{Past, Turn};
 use crate::stage::Stage;
 use crate::turns::Turns;
-use flaxhead_accord::{Heard, Machine, Micros, Process, Standing};
+use flaxhead_lease::{Heard, Machine, Micros, Process, Standing};
 use serde::{Deserialize, Serialize};
 
 /// An open turn, as it is shown.
--- a/turns/tests/fleet/mod.rs
+++ b/turns/tests/fleet/mod.rs
@@ -2,7 +2,7 @@
 //! and are cut off, clocks that run apart, operators who ask for hosts one after the other. One seed gives one run.
 #![allow(dead_code)]
 
-use flaxhead_accord::{Config, MemberFact, Micros, Name, Presence, Process, Serving, Voters};
+use flaxhead_lease::{Config, MemberFact, Micros, Name, Presence, Process, Serving, Voters};
 use flaxhead_turns::{
     may_send, view, Around, Ask, Effect, Facts, HostFact, HostFacts, Limits, Machine, Message, Order, Rules,
     Stage, Turn, Turns, Usage,
--- a/turns/tests/model.rs
+++ b/turns/tests/model.rs
@@ -6,7 +6,7 @@
 mod disks;
 
 use disks::Found;
-use flaxhead_accord::{
+use flaxhead_lease::{
     Ballot, Config, Known, Memory, Micros, Name, Presence, Process, Roster, Serving, Told, Voters,
 };
 use flaxhead_rig::{Bounds, Fixed, Fleet as _, Lasting, Letter};
@@ -368,7 +368,7 @@
 }
 
 impl flaxhead_rig::Fleet for Fleet {
-    type Matter = Turns;
+    type Application = Turns;
     type Own = Work;
     type Found = Found;
 
--- a/work/src/driver.rs
+++ b/work/src/driver.rs
@@ -1,7 +1,7 @@
 //! The turns of one process, on their ride.
 
 use crate::side::{Hosts, Sparing};
-use flaxhead_accord::{Config, Voters};
+use flaxhead_lease::{Config, Voters};
 use flaxhead_peers::{Channel, Peers};
 use flaxhead_ride::{Disk, Ride};
 use flaxhead_turns::{view, Answer, Order, Refusal, Rules, Turns, View};
@@ -28,8 +28,8 @@
     /// Rides on these peers, and remembers on the disk, where there is one. `seed` is new with each start.
     pub fn start(settings: Settings, peers: Peers, seed: u64, disk: Option<Disk<Turns>>) -> Work {
         let Settings { voters, config, rules } = settings;
-        let (channel, matter) = (Channel::TURNS, Turns::new(rules));
-        Work(Ride::start(flaxhead_ride::Settings { channel, voters, config, matter }, peers, seed, disk))
+        let (channel, application) = (Channel::TURNS, Turns::new(rules));
+        Work(Ride::start(flaxhead_ride::Settings { channel, voters, config, application }, peers, seed, disk))
     }
 
     /// Tells when the process may send to hosts.
--- a/work/src/side.rs
+++ b/work/src/side.rs
@@ -1,6 +1,6 @@
 //! The hosts of one process, as the turns go by them.
 
-use flaxhead_accord::{Ballot, Machine, Micros};
+use flaxhead_lease::{Ballot, Machine, Micros};
 use flaxhead_ride::{Clock, Side};
 use flaxhead_turns::{spared, HostFacts, Step, Turns, Usage};
 use std::cell::RefCell;
@@ -36,8 +36,8 @@
         self.hosts.facts()
     }
 
-    fn before(&self, matter: &mut Turns) {
-        matter.use_of_hosts(self.hosts.usage());
+    fn before(&self, application: &mut Turns) {
+        application.use_of_hosts(self.hosts.usage());
     }
 
     fn after(&self, machine: &Machine<Turns>, clock: Clock) {
--- a/zones/src/matter.rs
+++ b/zones/src/application.rs
@@ -6,9 +6,9 @@
 use crate::plan::Plan;
 use crate::word::Word;
 use crate::zones::Zones;
-use flaxhead_accord::{Matter, Member, Micros, Process, Room};
+use flaxhead_lease::{Application, Member, Micros, Process, Room};
 
-impl Matter for Zones {
+impl Application for Zones {
     type Desk = Desk;
 
     fn word(&mut self, now: Micros, _: &Member<Self>, _: &Vec<Host>) -> Word {
--- a/zones/src/desk/look.rs
+++ b/zones/src/desk/look.rs
@@ -8,7 +8,7 @@
 use crate::steps::Step;
 use crate::word::{Doubt, Sight};
 use crate::zones::Noted;
-use flaxhead_accord::Process;
+use flaxhead_lease::Process;
 use std::collections::BTreeMap;
 
 /// So much of a zone's room is reckoned with where it is strained, each time that the plan may move; and so much of
--- a/zones/src/desk/state.rs
+++ b/zones/src/desk/state.rs
@@ -7,7 +7,7 @@
 use crate::steps::{Share, Shares};
 use crate::word::{Doubt, Sight};
 use crate::zones::Zones;
-use flaxhead_accord::{Micros, Process, Room, Version};
+use flaxhead_lease::{Micros, Process, Room, Version};
 use std::collections::BTreeMap;
 
 /// What the holder keeps of the plan; gone with the lease. All that must outlive it is in the plan.
--- a/zones/src/desk/write.rs
+++ b/zones/src/desk/write.rs
@@ -4,7 +4,7 @@
 use crate::plan::{Pair, Room, Row};
 use crate::steps::{moved, Shares};
 use crate::word::Sight;
-use flaxhead_accord::{Micros, Version};
+use flaxhead_lease::{Micros, Version};
 
 /// How often words are read at the most.
 const LOOK: Micros = 50_000;
--- a/zones/src/judge/mod.rs
+++ b/zones/src/judge/mod.rs
@@ -9,7 +9,7 @@
 use crate::map::Map;
 use crate::pace::Pace;
 use crate::word::Sight;
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// How a zone stands, from all sides.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/zones/src/judge/steady.rs
+++ b/zones/src/judge/steady.rs
@@ -2,7 +2,7 @@
 
 use crate::pace::Pace;
 use crate::word::Sight;
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// A pair that got lost again within so many times what it must be seen better for has not forgotten the last time.
 const REMEMBERED: Micros = 32;
--- a/zones/src/lib.rs
+++ b/zones/src/lib.rs
@@ -1,5 +1,5 @@
 //! Which zones take whose traffic, as the client proxies settle it among themselves: what is settled under a lease of
-//! [`flaxhead_accord`], as its [`flaxhead_accord::Matter`]; no I/O, no clock.
+//! [`flaxhead_lease`], as its [`flaxhead_lease::Application`]; no I/O, no clock.
 //!
 //! Each process tells what it asks for and how it finds each zone ([`Tally`], [`Word`]). Whoever holds the lease
 //! judges zones by pairs of who looks and who is looked at ([`Judge`]), divides what is asked for over what can be
@@ -13,12 +13,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod application;
 mod desk;
 mod facts;
 pub mod fill;
 mod judge;
 mod map;
-mod matter;
 mod order;
 mod pace;
 mod plan;
@@ -40,15 +40,15 @@
 pub use word::{Doubt, Sight, Toward, Word, CLASSES};
 pub use zones::{Noted, Zones};
 
-pub use flaxhead_accord::{Ballot, Micros, Name, Process};
+pub use flaxhead_lease::{Ballot, Micros, Name, Process};
 
 /// One process's part in the plan.
-pub type Machine = flaxhead_accord::Machine<Zones>;
+pub type Machine = flaxhead_lease::Machine<Zones>;
 /// What one process says to another.
-pub type Message = flaxhead_accord::Message<Zones>;
+pub type Message = flaxhead_lease::Message<Zones>;
 /// What is to be done.
-pub type Effect = flaxhead_accord::Effect<Zones>;
+pub type Effect = flaxhead_lease::Effect<Zones>;
 /// What a process knows from elsewhere.
-pub type Facts = flaxhead_accord::Facts<Vec<Host>>;
+pub type Facts = flaxhead_lease::Facts<Vec<Host>>;
 /// What a process is given with everything that happens.
-pub type Around<'a> = flaxhead_accord::Around<'a, Vec<Host>>;
+pub type Around<'a> = flaxhead_lease::Around<'a, Vec<Host>>;
--- a/zones/src/order.rs
+++ b/zones/src/order.rs
@@ -1,7 +1,7 @@
 //! What operators order, and what they are told.
 
 use crate::map::{good, NAME_MOST};
-use flaxhead_accord::Unsettled;
+use flaxhead_lease::Unsettled;
 use serde::{Deserialize, Serialize};
 
 /// What an operator says.
--- a/zones/src/pace.rs
+++ b/zones/src/pace.rs
@@ -1,6 +1,6 @@
 //! How fast things are judged and moved, and by what bounds.
 
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// Settings, the same at all processes. Portions are in thousandths.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/zones/src/plan.rs
+++ b/zones/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::fill::{Level, PARTS};
 use crate::map::{good, Map, ZONES_MOST};
 use crate::word::Sight;
-use flaxhead_accord::{Micros, Slate, Version};
+use flaxhead_lease::{Micros, Slate, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
--- a/zones/src/tally.rs
+++ b/zones/src/tally.rs
@@ -3,7 +3,7 @@
 use crate::map::Map;
 use crate::pace::Pace;
 use crate::word::{Toward, Word, CLASSES};
-use flaxhead_accord::Micros;
+use flaxhead_lease::Micros;
 
 /// A span is counted in so many parts, each of that length: a second in all.
 const PARTS: usize = 8;
--- a/zones/src/view.rs
+++ b/zones/src/view.rs
@@ -4,7 +4,7 @@
 use crate::plan::Plan;
 use crate::word::Sight;
 use crate::zones::Zones;
-use flaxhead_accord::{Member, Micros, Version};
+use flaxhead_lease::{Member, Micros, Version};
 
 /// How a process finds a zone itself, now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
--- a/zones/src/zones.rs
+++ b/zones/src/zones.rs
@@ -7,7 +7,7 @@
 use crate::plan::{Plan, PlanError};
 use crate::tally::Tally;
 use crate::word::Word;
-use flaxhead_accord::{Config, Micros, Terms};
+use flaxhead_lease::{Config, Micros, Terms};
 
 /// A step, for the trail and the log of the holder.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
--- a/zones/tests/fleet/mod.rs
+++ b/zones/tests/fleet/mod.rs
@@ -9,7 +9,7 @@
 pub use seen::Seen;
 pub use site::Site;
 
-use flaxhead_accord::Voters;
+use flaxhead_lease::Voters;
 use flaxhead_zones::{Allow, Facts, Machine, Map, MapTerms, Message, Micros, Name, Pace, Process, Zones};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64;
--- a/zones/tests/fleet/net.rs
+++ b/zones/tests/fleet/net.rs
@@ -1,7 +1,7 @@
 //! Messages between the processes.
 
 use super::{at, name, Fleet, Place, What, SECOND};
-use flaxhead_accord::{MemberFact, Presence};
+use flaxhead_lease::{MemberFact, Presence};
 use flaxhead_zones::{Around, Effect, Facts, Machine, Message};
 use rand_core::RngCore;
 
--- a/zones/tests/fleet/site.rs
+++ b/zones/tests/fleet/site.rs
@@ -1,7 +1,7 @@
 //! The zones' hosts, as they do calls, and the proxies' calls to them.
 
 use super::{Fleet, Plan, SECOND, TICK};
-use flaxhead_accord::Matter;
+use flaxhead_lease::Application;
 use flaxhead_zones::{Allow, Here, Host, Map, Micros, Pace};
 use rand_core::RngCore;
 
@@ -132,7 +132,8 @@
     fn sends(&mut self, place: usize, calls: [f64; 3]) -> (Vec<f64>, f64) {
         let (count, local, here) = (self.map.count(), self.local(place), self.here(place));
         let all: f64 = calls.iter().sum();
-        let allow = self.places[place].machine.as_ref().map(|m| m.matter().allow(local, m.member(), &here));
+        let allow =
+            self.places[place].machine.as_ref().map(|m| m.application().allow(local, m.member(), &here));
         let mut sends = vec![0.0; count];
         let through;
         let mut trials: Vec<usize> = (0..count).filter(|zone| here[*zone].fails).collect();
@@ -200,7 +201,7 @@
             let news = !of.frozen
                 && of.machine.as_mut().is_some_and(|machine| {
                     machine.matter_mut().look(local);
-                    machine.matter().hurries()
+                    machine.application().hurries()
                 });
             if news {
                 self.wake(place);
--- a/zones/tests/model/world.rs
+++ b/zones/tests/model/world.rs
@@ -1,6 +1,6 @@
 //! The processes, what is on the way between them, and what goes wrong; a step at a time.
 
-use flaxhead_accord::{MemberFact, Presence, Version, Voters};
+use flaxhead_lease::{MemberFact, Presence, Version, Voters};
 use flaxhead_zones::{
     Around, Effect, Facts, Host, Lapse, Machine, Map, MapTerms, Message, Micros, Name, Pace, Plan, Process,
     Row, Zones,
@@ -200,11 +200,11 @@
     /// The plan that a process goes by now.
     fn goes_by<'a>(&self, world: &'a World, node: usize) -> Option<&'a Plan> {
         let machine = &world.nodes[node];
-        let (matter, member) = (machine.matter(), machine.member());
-        match (matter.in_force(now(world.step), member), self.broken) {
+        let (application, member) = (machine.application(), machine.member());
+        match (application.in_force(now(world.step), member), self.broken) {
             (Ok(plan), _) => Some(plan),
             (Err(Lapse::RanOut), Broken::Lapses) | (Err(Lapse::Superseded), Broken::Fence) => {
-                Some(matter.good())
+                Some(application.good())
             }
             (Err(Lapse::NotLetIn), Broken::Kept) => Some(&world.before[node]),
             _ => None,
@@ -299,7 +299,7 @@
 
     fn crash(&self, world: &mut World, node: usize) {
         world.before[node] = match self.broken {
-            Broken::Kept => world.nodes[node].matter().good().clone(),
+            Broken::Kept => world.nodes[node].application().good().clone(),
             _ => Plan::default(),
         };
         world.nodes[node] = machine(node, world);
@@ -362,7 +362,7 @@
     /// Each goes by the same plan, and has its own zone's traffic at home.
     pub fn all_go_by_one(&self) -> bool {
         let plan = |node: &Machine| {
-            let plan = node.matter().in_force(now(self.step), node.member()).ok()?;
+            let plan = node.application().in_force(now(self.step), node.member()).ok()?;
             let home = |row: &Row| row.shares.iter().any(|(to, part)| *to == row.from && *part >= 9_500);
             (plan.rows.len() == NODES && plan.rows.iter().all(home)).then(|| plan.number.clone())
         };
--- a/zones/tests/plan.rs
+++ b/zones/tests/plan.rs
@@ -1,6 +1,6 @@
 //! What a plan may say, how long it can get, and how it narrows a process's choice.
 
-use flaxhead_accord::{Ballot, Matter, Slate, Terms, Version};
+use flaxhead_lease::{Application, Ballot, Slate, Terms, Version};
 use flaxhead_zones::fill::{Level, PARTS};
 use flaxhead_zones::{
     Map, MapTerms, Name, Pace, Pair, Plan, PlanError, Room, Row, Standing, Toward, Word, Zones, CLASSES,
