Rename the package ride to coordination, and Ride to Coordinator

What drives an application of the lease on the peers' sockets is a coordinator, the field's word (ZooKeeper's and etcd's recipes, "coordination service"). In `peers` a `Rider` is a `ChannelService`, which is registered where it was carried. Behaviour is unchanged: no line of logic differs.

--- a/ride/src/disk.rs
+++ b/coordination/src/disk.rs
@@ -1,4 +1,4 @@
-//! What a ride keeps on a disk over a restart, and what of it the disk has.
+//! What a coordinator keeps on a disk over a restart, and what of it the disk has.
 
 use flaxhead_lease::{Application, Machine, Mark, Memory, Micros};
 use flaxhead_state::{AsOf, Keeper, Part, Recollection, Refusal};
--- a/ride/src/driver.rs
+++ b/coordination/src/driver.rs
@@ -6,7 +6,7 @@
 use flaxhead_lease::{
     Application, Around, Config, Effect, Facts, Machine, Micros, Name, Process, Serving, Unsettled, Voters,
 };
-use flaxhead_peers::{Channel, Peers, Rider};
+use flaxhead_peers::{Channel, ChannelService, Peers};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
 use std::cell::{Cell, RefCell};
@@ -56,27 +56,27 @@
 }
 
 /// One process's part in an application, shared by the tasks of one thread.
-pub struct Ride<M: Application>(Rc<Inner<M>>);
+pub struct Coordinator<M: Application>(Rc<Inner<M>>);
 
-impl<M: Application> Clone for Ride<M> {
+impl<M: Application> Clone for Coordinator<M> {
     fn clone(&self) -> Self {
-        Ride(self.0.clone())
+        Coordinator(self.0.clone())
     }
 }
 
-impl<M: Application> fmt::Debug for Ride<M> {
+impl<M: Application> fmt::Debug for Coordinator<M> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Ride of {} on {:?}", self.0.machine.borrow().me().name, self.0.channel)
+        write!(f, "Coordinator of {} on {:?}", self.0.machine.borrow().me().name, self.0.channel)
     }
 }
 
-impl<M: Application + 'static> Ride<M>
+impl<M: Application + 'static> Coordinator<M>
 where
     M::Facts: Default + 'static,
 {
-    /// Rides on these peers, and remembers on the disk, where there is one. `seed` is new with each start, and another
+    /// Runs over these peers, and remembers on the disk, where there is one. `seed` is new with each start, and another
     /// for each application.
-    pub fn start(settings: Settings<M>, peers: Peers, seed: u64, disk: Option<Disk<M>>) -> Ride<M> {
+    pub fn start(settings: Settings<M>, peers: Peers, seed: u64, disk: Option<Disk<M>>) -> Coordinator<M> {
         let me = peers.look(|machine, _| machine.table().me().clone());
         let me = Process { name: me.name, life: me.stamp.life, at: me.at };
         let Settings { channel, voters, config, application } = settings;
@@ -90,7 +90,7 @@
             }
             None => (machine, None),
         };
-        let ride = Ride(Rc::new(Inner {
+        let coordinator = Coordinator(Rc::new(Inner {
             peers: peers.clone(),
             channel,
             machine: RefCell::new(machine),
@@ -107,8 +107,8 @@
             open: watch::Sender::new(false),
             dropped: Cell::new(0),
         }));
-        peers.carry(channel, Rc::new(ride.clone()));
-        ride
+        peers.register(channel, Rc::new(coordinator.clone()));
+        coordinator
     }
 
     /// Tells when the process was let in, or has waited for that for so long that it serves alone.
@@ -238,7 +238,7 @@
     }
 }
 
-impl<M: Application + 'static> Rider for Ride<M>
+impl<M: Application + 'static> ChannelService for Coordinator<M>
 where
     M::Facts: Default + 'static,
 {
--- a/ride/src/side.rs
+++ b/coordination/src/side.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The clock that a machine goes by: how long ago its ride began.
+/// The clock that a machine goes by: how long ago its coordinator began.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock(Instant);
 
@@ -24,7 +24,7 @@
     }
 }
 
-/// A process's side of an application. None of its methods may wait, or call the ride.
+/// A process's side of an application. None of its methods may wait, or call the coordinator.
 pub trait Side<M: Application> {
     /// What the application goes by; asked for some twenty times a second at the most.
     fn facts(&self) -> M::Facts;
--- a/peers/src/codec.rs
+++ b/peers/src/codec.rs
@@ -5,19 +5,19 @@
 
 /// The first bytes of everything.
 const MARK: [u8; 2] = *b"fx";
-/// The same of what a rider says.
-const RIDER: [u8; 2] = *b"fr";
+/// The same of what a service says.
+const SERVICE: [u8; 2] = *b"fr";
 /// This form.
 pub const VERSION: u8 = 1;
-/// The form of what riders say: since the second they are told apart by channels.
-pub const RIDER_VERSION: u8 = 2;
+/// The form of what services say: since the second they are told apart by channels.
+pub const SERVICE_VERSION: u8 = 2;
 /// Longest datagram: it passes any network without being cut in two.
 pub const DATAGRAM_MOST: usize = 1_400;
 /// Longest frame of a connection: all members that are kept, with their longest names.
 pub const FRAME_MOST: usize = 1 << 20;
 const CHECKSUM: usize = 4;
 
-/// Which of several riders it is.
+/// Which of several services it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Channel(pub u8);
 
@@ -60,14 +60,14 @@
     put((MARK, VERSION), cluster, packet)
 }
 
-/// What the rider on a channel says in the name of a member, as bytes.
+/// What the service on a channel says in the name of a member, as bytes.
 pub fn encode_ridden(cluster: &str, from: &Name, channel: Channel, body: &[u8]) -> Result<Vec<u8>, Bad> {
-    put((RIDER, RIDER_VERSION), cluster, &(from, channel, body))
+    put((SERVICE, SERVICE_VERSION), cluster, &(from, channel, body))
 }
 
-/// Whether these bytes are a rider's.
+/// Whether these bytes are a service's.
 pub fn is_ridden(bytes: &[u8]) -> bool {
-    bytes.starts_with(&RIDER)
+    bytes.starts_with(&SERVICE)
 }
 
 fn put((mark, version): ([u8; 2], u8), cluster: &str, what: &impl Serialize) -> Result<Vec<u8>, Bad> {
@@ -86,9 +86,9 @@
     take((MARK, VERSION), cluster, bytes)
 }
 
-/// Bytes as what a rider says: in whose name, on which channel, what.
+/// Bytes as what a service says: in whose name, on which channel, what.
 pub fn decode_ridden<'a>(cluster: &str, bytes: &'a [u8]) -> Result<(Name, Channel, &'a [u8]), Bad> {
-    take((RIDER, RIDER_VERSION), cluster, bytes)
+    take((SERVICE, SERVICE_VERSION), cluster, bytes)
 }
 
 fn take<'a, T: Deserialize<'a>>(
--- a/peers/src/driver.rs
+++ b/peers/src/driver.rs
@@ -44,7 +44,7 @@
     /// In the name of one that is no member, or is elsewhere.
     #[serde(default)]
     pub strangers: u64,
-    /// By a rider that this process does not have.
+    /// By a service that this process does not have.
     #[serde(default)]
     pub unknown_channel: u64,
     /// Past the rate, or sent while the socket was full.
@@ -64,7 +64,7 @@
 }
 
 /// What else travels between members, on their sockets: a service of its own that is told who speaks and what.
-pub trait Rider {
+pub trait ChannelService {
     /// Bytes came from a member. It must not wait.
     fn receive(&self, from: &Name, bytes: &[u8]);
 }
@@ -80,7 +80,7 @@
     /// Something came beside the main loop: it looks again when it is next wanted.
     stirred: Notify,
     asking: Semaphore,
-    riders: RefCell<BTreeMap<Channel, Rc<dyn Rider>>>,
+    services: RefCell<BTreeMap<Channel, Rc<dyn ChannelService>>>,
 }
 
 /// One process's peers, shared by the tasks of one thread.
@@ -121,7 +121,7 @@
             start,
             stirred,
             asking,
-            riders: RefCell::default(),
+            services: RefCell::default(),
         })))
     }
 
@@ -130,10 +130,10 @@
         tokio::join!(self.datagrams(), self.connections());
     }
 
-    /// Has a service ride along; one on each channel, the first that came.
-    pub fn carry(&self, channel: Channel, rider: Rc<dyn Rider>) {
+    /// Registers a service; one on each channel, the first that came.
+    pub fn register(&self, channel: Channel, service: Rc<dyn ChannelService>) {
         // A second one would be a slip of this program's own, and changes nothing.
-        self.0.riders.borrow_mut().entry(channel).or_insert(rider);
+        self.0.services.borrow_mut().entry(channel).or_insert(service);
     }
 
     /// Looks at the machine.
@@ -141,7 +141,7 @@
         look(&self.0.machine.borrow(), self.now())
     }
 
-    /// Sends what a rider says to a member, as a datagram where it fits into one. What is lost is up to the rider.
+    /// Sends what a service says to a member, as a datagram where it fits into one. What is lost is up to the service.
     pub fn post(&self, channel: Channel, to: &Name, body: &[u8]) {
         let (at, bytes) = {
             let machine = self.0.machine.borrow();
@@ -164,14 +164,14 @@
                 // It is read before the other side closes.
                 stream.read_u8().await
             };
-            // The rider sends again what it has no answer to.
+            // The service sends again what it has no answer to.
             let _ = timeout(EXCHANGE_WAIT, sending).await;
         });
     }
 
-    /// What a rider of the other side said.
+    /// What a service of the other side said.
     fn ridden(&self, source: SocketAddr, bytes: &[u8], most: usize) {
-        if self.0.riders.borrow().is_empty() {
+        if self.0.services.borrow().is_empty() {
             return self.count(Bad::Foreign);
         }
         if bytes.len() > most {
@@ -187,9 +187,9 @@
             return;
         }
         // It may post, and so is not held.
-        let rider = self.0.riders.borrow().get(&channel).cloned();
-        match rider {
-            Some(rider) => rider.receive(&from, body),
+        let service = self.0.services.borrow().get(&channel).cloned();
+        match service {
+            Some(service) => service.receive(&from, body),
             None => self.0.counts.borrow_mut().unknown_channel += 1,
         }
     }
--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -10,5 +10,5 @@
 mod settings;
 
 pub use codec::Channel;
-pub use driver::{Peers, Rider, Shown};
+pub use driver::{ChannelService, Peers, Shown};
 pub use settings::Settings;
--- a/peers/tests/riders.rs
+++ b/peers/tests/services.rs
@@ -1,7 +1,7 @@
 //! Several services on one process's sockets: each hears its own channel and no other's.
 
 use flaxhead_membership::{Config, Name};
-use flaxhead_peers::{Channel, Peers, Rider, Settings};
+use flaxhead_peers::{Channel, ChannelService, Peers, Settings};
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
@@ -12,7 +12,7 @@
 #[derive(Default)]
 struct Heard(RefCell<Vec<(String, usize)>>);
 
-impl Rider for Heard {
+impl ChannelService for Heard {
     fn receive(&self, from: &Name, bytes: &[u8]) {
         self.0.borrow_mut().push((from.to_string(), bytes.len()));
     }
@@ -61,11 +61,11 @@
     LocalSet::new().block_on(&runtime, async {
         let [at, other] = free();
         let (one, two) = (peers("n1", at, other), peers("n2", other, at));
-        let riders = [Channel::TURNS, Channel::SHARES].map(|channel| {
+        let services = [Channel::TURNS, Channel::SHARES].map(|channel| {
             let heard = Rc::new(Heard::default());
-            two.carry(channel, heard.clone());
+            two.register(channel, heard.clone());
             // One on each: this changes nothing.
-            two.carry(channel, Rc::new(Heard::default()));
+            two.register(channel, Rc::new(Heard::default()));
             heard
         });
         let n2 = Name::new("n2").expect("a name");
@@ -75,9 +75,9 @@
         for (channel, length) in [(Channel::TURNS, 3), (Channel::SHARES, 5_000), (Channel(9), 4)] {
             one.post(channel, &n2, &vec![0; length]);
         }
-        until("each heard one", || riders.iter().all(|heard| !heard.0.borrow().is_empty())).await;
+        until("each heard one", || services.iter().all(|heard| !heard.0.borrow().is_empty())).await;
         until("the third is counted", || two.shown().wire.unknown_channel == 1).await;
-        let heard = riders.map(|heard| heard.0.borrow().clone());
+        let heard = services.map(|heard| heard.0.borrow().clone());
         assert_eq!(heard, [vec![("n1".to_owned(), 3)], vec![("n1".to_owned(), 5_000)]]);
     });
 }
--- a/proxy/src/features/shares/ride.rs
+++ b/proxy/src/features/shares/driver.rs
@@ -1,11 +1,11 @@
-//! The shares on their ride: what this proxy has is told with each renewal, and what it may have goes to the gate.
+//! The shares at their coordinator: what this proxy has is told with each renewal, and what it may have goes to the gate.
 
 use super::super::hosts::{Fact, Known};
 use super::lines::Lines;
 use crate::http::Engine;
+use flaxhead_coordination::{Clock, Coordinator, Side};
 use flaxhead_engine::Health;
 use flaxhead_lease::{Ballot, Machine};
-use flaxhead_ride::{Clock, Ride, Side};
 use flaxhead_shares::{Allowance, Host, Seat, Shares, Usage};
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -106,20 +106,20 @@
 }
 
 /// Has a word said early where lines grow, for good.
-pub(super) async fn press(lines: &Lines, ride: &Ride<Shares>) {
+pub(super) async fn press(lines: &Lines, coordinator: &Coordinator<Shares>) {
     loop {
         lines.pressed().await;
-        ride.stir();
+        coordinator.stir();
         sleep(PRESSED_PAUSE).await;
     }
 }
 
 /// Tells operators at the holder what keeps it from giving all there is, as it changes, for good.
-pub(super) async fn watch(ride: &Ride<Shares>) {
+pub(super) async fn watch(coordinator: &Coordinator<Shares>) {
     let mut told: Vec<String> = Vec::new();
     loop {
         sleep(LOOK).await;
-        let mut why = ride
+        let mut why = coordinator
             .look(|machine, now| machine.desk(now).map(|ledger| ledger.view(now).why))
             .unwrap_or_default();
         // That is over by itself.
--- a/proxy/src/features/shares/mod.rs
+++ b/proxy/src/features/shares/mod.rs
@@ -1,8 +1,8 @@
 //! Connection capacity that tenants share: a gate before the engine, and what the proxies settle of it. Off where proxies
 //! may not talk to each other.
 
+mod driver;
 mod lines;
-mod ride;
 mod settings;
 mod shown;
 
@@ -13,11 +13,11 @@
 use super::hosts::Known;
 use crate::config::Config;
 use crate::http::Engine;
+use driver::Keeper;
+use flaxhead_coordination::{Coordinator, Disk};
 use flaxhead_peers::{Channel, Peers};
-use flaxhead_ride::{Disk, Ride};
 use flaxhead_shares::gate::{Class, Rules};
-use flaxhead_shares::{Book, Held, Pace, Shares as Application};
-use ride::Keeper;
+use flaxhead_shares::{Book, Held, Pace, Shares as SharesApplication};
 use std::rc::Rc;
 
 /// What `[shares]` needs to run.
@@ -27,17 +27,17 @@
     pub lines: Lines,
     book: Book,
     /// `None`: nothing is settled with anybody, and the own parts are all.
-    ride: Option<Ride<Application>>,
+    coordinator: Option<Coordinator<SharesApplication>>,
 }
 
 impl Shares {
-    /// Checks the settings against the configuration and opens the gate. What is settled rides on these peers; without
+    /// Checks the settings against the configuration and opens the gate. What is settled goes over these peers; without
     /// any the process goes by its own parts, with a seat that is taken for granted.
     pub fn open(
         settings: Settings,
         config: &Config,
         peers: Option<Peers>,
-        disk: Option<Disk<Application>>,
+        disk: Option<Disk<SharesApplication>>,
     ) -> Result<Shares, Misfit> {
         let book = settings.book(config)?;
         let class = |class: &flaxhead_policy::Class| Class { aim: class.aim, deadline: class.deadline };
@@ -56,29 +56,31 @@
             held.nobody_holds();
         }
         let lines = Lines::new(rules, held.allowance(0), peers.is_some());
-        let ride = peers.map(|peers| {
-            let (channel, voters, config_of) = (Channel::SHARES, settings.voters, Application::config(&pace));
-            let application = Application::new(0, book.clone(), pace);
-            let settings = flaxhead_ride::Settings { channel, voters, config: config_of, application };
-            Ride::start(settings, peers, config.seed.rotate_left(48), disk)
+        let coordinator = peers.map(|peers| {
+            let (channel, voters, config_of) =
+                (Channel::SHARES, settings.voters, SharesApplication::config(&pace));
+            let application = SharesApplication::new(0, book.clone(), pace);
+            let settings =
+                flaxhead_coordination::Settings { channel, voters, config: config_of, application };
+            Coordinator::start(settings, peers, config.seed.rotate_left(48), disk)
         });
-        Ok(Shares { lines, book, ride })
+        Ok(Shares { lines, book, coordinator })
     }
 
     /// Serves the lines and takes part in what is settled, until it is dropped.
     pub async fn serve(&self, engine: Engine, known: Known) {
-        let Some(ride) = &self.ride else { return self.lines.serve().await };
+        let Some(coordinator) = &self.coordinator else { return self.lines.serve().await };
         let keeper = Rc::new(Keeper::new(self.lines.clone(), known, engine));
         tokio::join!(
             self.lines.serve(),
-            ride.serve(keeper),
-            ride::press(&self.lines, ride),
-            ride::watch(ride),
+            coordinator.serve(keeper),
+            driver::press(&self.lines, coordinator),
+            driver::watch(coordinator),
         );
     }
 
     /// What there is to show now.
     pub fn shown(&self) -> Shown {
-        Shown::new(&self.book, &self.lines, self.ride.as_ref())
+        Shown::new(&self.book, &self.lines, self.coordinator.as_ref())
     }
 }
--- a/proxy/src/features/shares/shown.rs
+++ b/proxy/src/features/shares/shown.rs
@@ -1,8 +1,8 @@
 //! What operators are shown of the tenants at this proxy.
 
 use super::lines::Lines;
-use flaxhead_ride::Ride;
-use flaxhead_shares::{gate, Book, Seat, Shares as Application, Units, View};
+use flaxhead_coordination::Coordinator;
+use flaxhead_shares::{gate, Book, Seat, Shares as SharesApplication, Units, View};
 use html_escape::encode_safe;
 use serde::Serialize;
 use std::fmt::Write;
@@ -52,9 +52,13 @@
 }
 
 impl Shown {
-    pub(super) fn new(book: &Book, lines: &Lines, ride: Option<&Ride<Application>>) -> Shown {
-        let (seat, granted_by, fleet) = ride.map_or((Seat::Has, None, None), |ride| {
-            ride.look(|machine, now| {
+    pub(super) fn new(
+        book: &Book,
+        lines: &Lines,
+        coordinator: Option<&Coordinator<SharesApplication>>,
+    ) -> Shown {
+        let (seat, granted_by, fleet) = coordinator.map_or((Seat::Has, None, None), |coordinator| {
+            coordinator.look(|machine, now| {
                 let view = machine.desk(now).map(|ledger| ledger.view(now));
                 (machine.application().seat(), machine.standing(now).holder, view)
             })
--- a/work/src/driver.rs
+++ b/work/src/driver.rs
@@ -1,9 +1,9 @@
-//! The turns of one process, on their ride.
+//! The turns of one process, at their coordinator.
 
 use crate::side::{Hosts, Sparing};
+use flaxhead_coordination::{Coordinator, Disk};
 use flaxhead_lease::{Config, Voters};
 use flaxhead_peers::{Channel, Peers};
-use flaxhead_ride::{Disk, Ride};
 use flaxhead_turns::{view, Answer, Order, Refusal, Rules, Turns, View};
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,14 +22,19 @@
 
 /// One process's part in the turns, shared by the tasks of one thread.
 #[derive(Clone, Debug)]
-pub struct Work(Ride<Turns>);
+pub struct Work(Coordinator<Turns>);
 
 impl Work {
-    /// Rides on these peers, and remembers on the disk, where there is one. `seed` is new with each start.
+    /// Runs over these peers, and remembers on the disk, where there is one. `seed` is new with each start.
     pub fn start(settings: Settings, peers: Peers, seed: u64, disk: Option<Disk<Turns>>) -> Work {
         let Settings { voters, config, rules } = settings;
         let (channel, application) = (Channel::TURNS, Turns::new(rules));
-        Work(Ride::start(flaxhead_ride::Settings { channel, voters, config, application }, peers, seed, disk))
+        Work(Coordinator::start(
+            flaxhead_coordination::Settings { channel, voters, config, application },
+            peers,
+            seed,
+            disk,
+        ))
     }
 
     /// Tells when the process may send to hosts.
--- a/work/src/lib.rs
+++ b/work/src/lib.rs
@@ -1,5 +1,5 @@
 //! The turns in which hosts are taken out for work, at one process: what it tells of its hosts, and which of them it
-//! leaves alone. Timers and messages are [`flaxhead_ride`]'s, on the thread of the engine.
+//! leaves alone. Timers and messages are [`flaxhead_coordination`]'s, on the thread of the engine.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -7,5 +7,5 @@
 mod side;
 
 pub use driver::{Settings, Work};
-pub use flaxhead_ride::Disk;
+pub use flaxhead_coordination::Disk;
 pub use side::Hosts;
--- a/work/src/side.rs
+++ b/work/src/side.rs
@@ -1,7 +1,7 @@
 //! The hosts of one process, as the turns go by them.
 
+use flaxhead_coordination::{Clock, Side};
 use flaxhead_lease::{Ballot, Machine, Micros};
-use flaxhead_ride::{Clock, Side};
 use flaxhead_turns::{spared, HostFacts, Step, Turns, Usage};
 use std::cell::RefCell;
 use std::rc::Rc;
