Rename the packages turns and work to maintenance and its driver

What decides which host is taken out next is `flaxhead-maintenance`, and its process-side part `flaxhead-maintenance-driver`, in a folder of its own below it. Maintenance is the word for it in Kubernetes, Mesos ("maintenance primitives") and SRE handbooks. Behaviour is unchanged.

--- a/lab/src/turns/operators.rs
+++ b/lab/src/turns/operators.rs
@@ -4,8 +4,8 @@
 use super::judge::Told;
 use super::script::{Blow, Strike, Turn, Work, STAGES};
 use crate::Epoch;
+use flaxhead_maintenance::{Answer, Ask, Order, Refusal, Stage, View};
 use flaxhead_proxy::work;
-use flaxhead_turns::{Answer, Ask, Order, Refusal, Stage, View};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/work/src/driver.rs
+++ b/maintenance/driver/src/driver.rs
@@ -3,8 +3,8 @@
 use crate::side::{Hosts, Sparing};
 use flaxhead_coordination::{Coordinator, Disk};
 use flaxhead_lease::{Config, Voters};
+use flaxhead_maintenance::{view, Answer, Order, Refusal, Rules, Turns, View};
 use flaxhead_peers::{Channel, Peers};
-use flaxhead_turns::{view, Answer, Order, Refusal, Rules, Turns, View};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
--- a/work/src/side.rs
+++ b/maintenance/driver/src/side.rs
@@ -2,7 +2,7 @@
 
 use flaxhead_coordination::{Clock, Side};
 use flaxhead_lease::{Ballot, Machine, Micros};
-use flaxhead_turns::{spared, HostFacts, Step, Turns, Usage};
+use flaxhead_maintenance::{spared, HostFacts, Step, Turns, Usage};
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::Instant;
--- a/turns/tests/fleet/mod.rs
+++ b/maintenance/tests/fleet/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use flaxhead_lease::{Config, MemberFact, Micros, Name, Presence, Process, Serving, Voters};
-use flaxhead_turns::{
+use flaxhead_maintenance::{
     may_send, view, Around, Ask, Effect, Facts, HostFact, HostFacts, Limits, Machine, Message, Order, Rules,
     Stage, Turn, Turns, Usage,
 };
--- a/turns/tests/model.rs
+++ b/maintenance/tests/model.rs
@@ -9,11 +9,11 @@
 use flaxhead_lease::{
     Ballot, Config, Known, Memory, Micros, Name, Presence, Process, Roster, Serving, Told, Voters,
 };
-use flaxhead_rig::{Bounds, Fixed, Fleet as _, Lasting, Letter};
-use flaxhead_turns::{
+use flaxhead_maintenance::{
     may_send, spared, view, Around, Ask, Board, Effect, Facts, HostFact, HostFacts, Machine, Message, Order,
     Rules, Stage, Turns, Usage,
 };
+use flaxhead_rig::{Bounds, Fixed, Fleet as _, Lasting, Letter};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/turns/tests/week.rs
+++ b/maintenance/tests/week.rs
@@ -1,5 +1,5 @@
 //! Turns for five hours at a small fleet in virtual time, with a fault every few minutes: the same seed gives the same run.
-//! The week of 300 processes and 200 hosts is a benchmark, `cargo bench -p flaxhead-turns`.
+//! The week of 300 processes and 200 hosts is a benchmark, `cargo bench -p flaxhead-maintenance`.
 
 mod fleet;
 
--- a/proxy/src/features/mod.rs
+++ b/proxy/src/features/mod.rs
@@ -56,7 +56,7 @@
     /// The membership among client proxies.
     pub peers: Option<flaxhead_peers::Settings>,
     /// Hosts taken out for work.
-    pub work: Option<flaxhead_work::Settings>,
+    pub work: Option<flaxhead_maintenance_driver::Settings>,
     /// Connection capacity that tenants share.
     pub shares: Option<shares::Settings>,
     /// What is remembered on disk.
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -18,7 +18,7 @@
 use features::work::{Fleet, Gated};
 use flaxhead_discovery::Discovery;
 use flaxhead_engine::{spawn, Engine, Setup, Source};
-use flaxhead_work::Work;
+use flaxhead_maintenance_driver::Work;
 use http::front::{self, Driver};
 use http::Http;
 use side::Side;
--- a/proxy/src/work.rs
+++ b/proxy/src/work.rs
@@ -3,7 +3,7 @@
 use crate::ask::{self, WAIT};
 use clap::{Args, Subcommand};
 use flaxhead_lease::Micros;
-use flaxhead_turns::{Answer, Ask, Order, Refusal, Stage, TurnRow, View};
+use flaxhead_maintenance::{Answer, Ask, Order, Refusal, Stage, TurnRow, View};
 use std::fmt::Write as _;
 use std::io::{self, Write};
 use std::net::SocketAddr;
