Rename the package shares to quota

What tenants share of the hosts' connections is a quota, the word of Kubernetes ("resource quota") and Linux's cgroups. Behaviour is unchanged.

--- a/proxy/src/features/shares/driver.rs
+++ b/proxy/src/features/shares/driver.rs
@@ -6,7 +6,7 @@
 use flaxhead_coordination::{Clock, Coordinator, Side};
 use flaxhead_engine::Health;
 use flaxhead_lease::{Ballot, Machine};
-use flaxhead_shares::{Allowance, Host, Seat, Shares, Usage};
+use flaxhead_quota::{Allowance, Host, Seat, Shares, Usage};
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
--- a/proxy/src/features/shares/lines.rs
+++ b/proxy/src/features/shares/lines.rs
@@ -3,8 +3,8 @@
 
 use flaxhead_engine::{Ask, Ticket};
 use flaxhead_policy::Micros;
-use flaxhead_shares::gate::{self, Answer, Asked, Gate, Key, Rules, Verdict, Verdicts};
-use flaxhead_shares::{Allowance, Use};
+use flaxhead_quota::gate::{self, Answer, Asked, Gate, Key, Rules, Verdict, Verdicts};
+use flaxhead_quota::{Allowance, Use};
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/proxy/src/features/shares/lines/tests.rs
+++ b/proxy/src/features/shares/lines/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 use flaxhead_policy::ClassId;
-use flaxhead_shares::gate::Class;
-use flaxhead_shares::Units;
+use flaxhead_quota::gate::Class;
+use flaxhead_quota::Units;
 use std::future::Future;
 use tokio::task::{spawn_local, yield_now, LocalSet};
 use tokio::time::sleep;
--- a/proxy/src/features/shares/mod.rs
+++ b/proxy/src/features/shares/mod.rs
@@ -16,8 +16,8 @@
 use driver::Keeper;
 use flaxhead_coordination::{Coordinator, Disk};
 use flaxhead_peers::{Channel, Peers};
-use flaxhead_shares::gate::{Class, Rules};
-use flaxhead_shares::{Book, Held, Pace, Shares as SharesApplication};
+use flaxhead_quota::gate::{Class, Rules};
+use flaxhead_quota::{Book, Held, Pace, Shares as SharesApplication};
 use std::rc::Rc;
 
 /// What `[shares]` needs to run.
--- a/proxy/src/features/shares/settings.rs
+++ b/proxy/src/features/shares/settings.rs
@@ -4,7 +4,7 @@
 use super::super::sections::{Problem, Section};
 use crate::config::Config;
 use flaxhead_lease::{Micros, Voters};
-use flaxhead_shares::{Book, BookError, Terms, OTHERS};
+use flaxhead_quota::{Book, BookError, Terms, OTHERS};
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
--- a/proxy/src/features/shares/shown.rs
+++ b/proxy/src/features/shares/shown.rs
@@ -2,7 +2,7 @@
 
 use super::lines::Lines;
 use flaxhead_coordination::Coordinator;
-use flaxhead_shares::{gate, Book, Seat, Shares as SharesApplication, Units, View};
+use flaxhead_quota::{gate, Book, Seat, Shares as SharesApplication, Units, View};
 use html_escape::encode_safe;
 use serde::Serialize;
 use std::fmt::Write;
@@ -136,7 +136,7 @@
     for row in &fleet.tenants {
         let by =
             row.held_by.iter().map(|by| format!("{} {}", by.name, by.granted)).collect::<Vec<_>>().join(", ");
-        let flaxhead_shares::TenantRow { granted, in_hand, lent, waiting, refused, .. } = row;
+        let flaxhead_quota::TenantRow { granted, in_hand, lent, waiting, refused, .. } = row;
         let _ = writeln!(
             page,
             "<tr><td>{}</td><td>{}</td><td>{}</td><td>{granted}</td><td>{in_hand}</td><td>{lent}</td><td>{waiting}</td>\
--- a/shares/benches/gate.rs
+++ b/quota/benches/gate.rs
@@ -1,11 +1,11 @@
 //! What the gate takes for a call, from its asking to its unit's coming back: where units are free, and where all
 //! tenants wait for them.
 //!
-//! `cargo bench -p flaxhead-shares`
+//! `cargo bench -p flaxhead-quota`
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
-use flaxhead_shares::gate::{Answer, Asked, Class, Gate, Rules, Verdict, Verdicts};
-use flaxhead_shares::{Allowance, Units};
+use flaxhead_quota::gate::{Answer, Asked, Class, Gate, Rules, Verdict, Verdicts};
+use flaxhead_quota::{Allowance, Units};
 use std::hint::black_box;
 
 /// A gate of so many tenants, with the moment that it is at and whose unit comes back next.
--- a/shares/benches/shares.rs
+++ b/quota/benches/shares.rs
@@ -5,8 +5,8 @@
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
 
-use flaxhead_shares::divide::{fill, Want};
-use flaxhead_shares::{Micros, Pace};
+use flaxhead_quota::divide::{fill, Want};
+use flaxhead_quota::{Micros, Pace};
 use fleet::{site, Fleet, Mode, Plan, SECOND};
 use std::time::Instant;
 
--- a/shares/tests/disks.rs
+++ b/quota/tests/disks.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use flaxhead_lease::Voters;
-use flaxhead_shares::{Around, Effect, Facts, Machine, Message, Name, Pace, Process, Shares};
+use flaxhead_quota::{Around, Effect, Facts, Machine, Message, Name, Pace, Process, Shares};
 use fleet::{site, Fleet, Mode, Plan, SECOND};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64;
--- a/shares/tests/divide.rs
+++ b/quota/tests/divide.rs
@@ -1,7 +1,7 @@
 //! Divisions against a reference that is written differently: the exact level, found by halving over fractions, without
 //! any sorting or remainder.
 
-use flaxhead_shares::divide::{fill, settle, settle_tenants, spread, Want};
+use flaxhead_quota::divide::{fill, settle, settle_tenants, spread, Want};
 use proptest::prelude::*;
 
 /// What each would have if units could be split: everybody's wish, or least units, or its weight's part of one level.
--- a/shares/tests/faults.rs
+++ b/quota/tests/faults.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use flaxhead_shares::Pace;
+use flaxhead_quota::Pace;
 use fleet::{site, Fleet, Mode, Plan, SECOND};
 
 fn plan(name: &str, processes: usize, seed: u64) -> Plan {
--- a/shares/tests/fleet/mod.rs
+++ b/quota/tests/fleet/mod.rs
@@ -9,7 +9,7 @@
 pub use sites::{site, Site};
 
 use flaxhead_lease::{Config, MemberFact, Memory, Presence, Voters};
-use flaxhead_shares::{
+use flaxhead_quota::{
     Allowance, Book, Facts, Host, Machine, Message, Micros, Name, Pace, Process, Shares, Terms,
 };
 use rand_core::{RngCore, SeedableRng};
--- a/shares/tests/fleet/play.rs
+++ b/quota/tests/fleet/play.rs
@@ -1,7 +1,7 @@
 //! What happens, one thing after the other.
 
 use super::{name, Fleet, Mode, Place, What, FRESH, SECOND};
-use flaxhead_shares::{Allowance, Around, Effect, Facts, Machine, Message, Micros, Name, Units, Usage, Use};
+use flaxhead_quota::{Allowance, Around, Effect, Facts, Machine, Message, Micros, Name, Units, Usage, Use};
 use rand_core::RngCore;
 use std::cmp::Reverse;
 
--- a/shares/tests/gate.rs
+++ b/quota/tests/gate.rs
@@ -1,7 +1,7 @@
 //! What must hold at the gate whatever comes, from drawn events. All is reckoned from what goes in and comes out.
 
-use flaxhead_shares::gate::{Answer, Asked, Class, Gate, Key, Rules, Verdict, Verdicts};
-use flaxhead_shares::{Allowance, Units};
+use flaxhead_quota::gate::{Answer, Asked, Class, Gate, Key, Rules, Verdict, Verdicts};
+use flaxhead_quota::{Allowance, Units};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
--- a/shares/tests/ledger.rs
+++ b/quota/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! The holder's ledger and the processes' grants, word by word.
 
-use flaxhead_shares::{
+use flaxhead_quota::{
     Ballot, Book, Held, Host, Leave, Ledger, Micros, Name, Pace, Process, Seat, Terms, Usage, Use, Word,
 };
 use std::net::SocketAddr;
@@ -232,7 +232,7 @@
     let (now, all) = (fleet.now, |held: &mut Held, now| held.allowance(now));
     let (one, two) = (all(&mut fleet.held[0], now), all(&mut fleet.held[1], now));
     // 90 calls: 56 for etna, at the one process that has any; 34 for iblea, at both.
-    let shares = |allowance: &flaxhead_shares::Allowance| -> Vec<u32> {
+    let shares = |allowance: &flaxhead_quota::Allowance| -> Vec<u32> {
         allowance.tenants.iter().map(|units| units.share).collect()
     };
     assert_eq!((shares(&one), shares(&two)), (vec![56, 17, 0], vec![0, 17, 0]));
--- a/shares/tests/model/world.rs
+++ b/quota/tests/model/world.rs
@@ -1,11 +1,11 @@
 //! The processes, what is on the way between them, and what goes wrong; a step at a time.
 
 use flaxhead_lease::{Ballot, Known, Never, Presence, Voters};
-use flaxhead_rig::{Bounds, Fixed, Fleet as _, Lasting, Letter};
-use flaxhead_shares::{
+use flaxhead_quota::{
     Allowance, Around, Book, Facts, Machine, Message, Micros, Name, Pace, Process, Seat, Shares, Terms,
     Usage, Use,
 };
+use flaxhead_rig::{Bounds, Fixed, Fleet as _, Lasting, Letter};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
