--- a/coordination/src/disk.rs
+++ b/coordination/src/disk.rs
@@ -1,7 +1,7 @@
 //! What a coordinator keeps on a disk over a restart, and what of it the disk has.
 
 use flaxhead_lease::{Application, Machine, Mark, Memory, Micros};
-use flaxhead_state::{AsOf, Keeper, Part, Recollection, Refusal};
+use flaxhead_snapshot::{AsOf, Keeper, Part, Recollection, Refusal};
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/lab/tests/returns_shares.rs
+++ b/lab/tests/returns_shares.rs
@@ -10,7 +10,7 @@
 use flaxhead_lab::proxy::Program;
 use flaxhead_lease::Memory;
 use flaxhead_quota::Shares;
-use flaxhead_state::{disk, form, Snapshot};
+use flaxhead_snapshot::{disk, form, Snapshot};
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/lab/tests/state.rs
+++ b/lab/tests/state.rs
@@ -7,7 +7,7 @@
 use flaxhead_lab::proxy::Program;
 use flaxhead_lease::Memory;
 use flaxhead_maintenance::Turns;
-use flaxhead_state::{disk, form, Snapshot};
+use flaxhead_snapshot::{disk, form, Snapshot};
 use orders::{work, PROGRAM};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
--- a/maintenance/tests/disks/mod.rs
+++ b/maintenance/tests/disks/mod.rs
@@ -2,8 +2,8 @@
 //! somebody put back.
 
 use super::*;
-use flaxhead_state::judge::judge;
-use flaxhead_state::{Bounds, Header, Mine, Moment, Snapshot};
+use flaxhead_snapshot::judge::judge;
+use flaxhead_snapshot::{Bounds, Header, Mine, Moment, Snapshot};
 
 /// What processes that start again find on their disks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/proxy/src/features/state.rs
+++ b/proxy/src/features/state.rs
@@ -7,7 +7,7 @@
 use flaxhead_engine::{Health, Host, List, Note, Observer, View};
 use flaxhead_lease::Application;
 use flaxhead_maintenance_driver::Disk;
-use flaxhead_state::{disk, AsOf, Keeper, Mine, Opened, Part, Recollection, Refusal, Start};
+use flaxhead_snapshot::{disk, AsOf, Keeper, Mine, Opened, Part, Recollection, Refusal, Start};
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::cell::Cell;
--- a/proxy/tests/state.rs
+++ b/proxy/tests/state.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use flaxhead_state::{form, Snapshot};
+use flaxhead_snapshot::{form, Snapshot};
 use std::fs;
 use std::io::Read;
 use std::net::SocketAddr;
--- a/state/tests/disk.rs
+++ b/snapshot/tests/disk.rs
@@ -1,8 +1,8 @@
 //! Replacing a file on disks that stop between any two steps, and the thread that does it. Tests wait on conditions.
 
-use flaxhead_state::disk::{file, replace, Place, Trouble};
-use flaxhead_state::form::{read, write};
-use flaxhead_state::{AsOf, Bounds, Header, Keeper, Mine, Part, Refusal, Snapshot, Start};
+use flaxhead_snapshot::disk::{file, replace, Place, Trouble};
+use flaxhead_snapshot::form::{read, write};
+use flaxhead_snapshot::{AsOf, Bounds, Header, Keeper, Mine, Part, Refusal, Snapshot, Start};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -177,7 +177,7 @@
     assert_eq!(last.map(|snapshot| snapshot.parts), Some(vec![part("list", "kept")]));
 }
 
-fn open(dir: &Path) -> flaxhead_state::Opened {
+fn open(dir: &Path) -> flaxhead_snapshot::Opened {
     Start { dir: dir.to_owned(), mine: mine(), old: FOREVER }.open().expect("a thread")
 }
 
--- a/state/tests/form.rs
+++ b/snapshot/tests/form.rs
@@ -1,7 +1,7 @@
 //! Damage to a file, all of it that one cut or one byte can do.
 
-use flaxhead_state::form::{read, write};
-use flaxhead_state::{Header, Moment, Part, Refusal, Snapshot};
+use flaxhead_snapshot::form::{read, write};
+use flaxhead_snapshot::{Header, Moment, Part, Refusal, Snapshot};
 
 fn snapshot() -> Snapshot {
     let part = |name: &str, bytes: &[u8]| Part {
--- a/state/tests/judge.rs
+++ b/snapshot/tests/judge.rs
@@ -1,7 +1,7 @@
 //! What of a whole file is taken, by owner and by clock.
 
-use flaxhead_state::judge::judge;
-use flaxhead_state::{Bounds, Header, Mine, Moment, Part, Refusal, Snapshot};
+use flaxhead_snapshot::judge::judge;
+use flaxhead_snapshot::{Bounds, Header, Mine, Moment, Part, Refusal, Snapshot};
 
 const BOUNDS: Bounds = Bounds { old_ms: 60_000, ahead_ms: 1_000 };
 const HOUR: u64 = 3_600_000;
