--- a/proxy/tests/told.rs
+++ b/proxy/tests/told.rs
@@ -10,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::slice::from_ref;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -18,6 +19,8 @@
 
 /// The protocol's time, from the moment at which discovery has a change and can be reached.
 const TOLD: Duration = Duration::from_secs(6);
+/// Pause between two looks.
+const TICK: Duration = Duration::from_millis(10);
 /// Proxies of each kind that start here, of a fleet of three hundred.
 const PROXIES: u32 = 40;
 
@@ -105,10 +108,10 @@
     discovery.mended.set(true);
     let reached = Instant::now();
     let knows = |engine: &Engine<Http>| engine.view(|view| view.hosts().any(|host| host.name == "new"));
-    let (mut lag, tick) = (Duration::ZERO, Duration::from_millis(10));
+    let mut lag = Duration::ZERO;
     while !engines.iter().all(knows) {
-        let due = Instant::now() + tick;
-        sleep(tick).await;
+        let due = Instant::now() + TICK;
+        sleep(TICK).await;
         lag = lag.max(due.elapsed());
         let late = engines.iter().filter(|engine| !knows(engine)).count();
         let in_time = reached.elapsed() <= TOLD + 2 * lag;
@@ -156,3 +159,45 @@
         }
     });
 }
+
+/// A process that is moved by SIGHUP while discovery fails, old and new: once the new one can be reached, a whole list
+/// that leaves a draining host out is followed in time, and that host gets nothing more, though it still answers.
+#[test]
+fn a_host_that_a_whole_list_leaves_out_after_a_reload_gets_nothing_more() {
+    run(async {
+        for failure in [Failure::Silent, Failure::Reset, Failure::Ended] {
+            let (drained, other) = (Host::start([ok("drained")]).await, Host::start([ok("other")]).await);
+            let (before, after) = (Failing::start(failure).await, Failing::start(failure).await);
+            *after.text.borrow_mut() = list(50, true, &[entry("s-9", other.address, "Ready")]);
+            let address = free_address();
+            let config = |discovery: &Failing| {
+                configuration(discovery.address, from_ref(&drained), |config| {
+                    config["listen"] = address.to_string().into();
+                    config["settings"]["discovery"] = "push".into();
+                })
+            };
+            let (mut command, path) = program(&config(&before), &format!("reload-{failure:?}.json"));
+            let child = Running::start(&mut command);
+            let mut client = connect(address).await;
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"drained");
+            eventually("the first fails", || before.asks.get() >= 1).await;
+            std::fs::write(path, config(&after)).expect("written");
+            tell(&child, "-HUP");
+            eventually("the second fails", || after.asks.get() >= 1).await;
+            after.mended.set(true);
+            let reached = Instant::now();
+            let mut lag = Duration::ZERO;
+            while client.ask(&request("unsafe", "", "")).await.body != b"other" {
+                let due = Instant::now() + TICK;
+                sleep(TICK).await;
+                lag = lag.max(due.elapsed());
+                assert!(reached.elapsed() <= TOLD + 2 * lag, "{failure:?}: not known, at a lag of {lag:?}");
+            }
+            let sent = drained.count();
+            for _ in 0..30 {
+                assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"other", "{failure:?}");
+            }
+            assert_eq!(drained.count(), sent, "{failure:?}: sent to a host that is off the list");
+        }
+    });
+}
