Let the proxy's tests share one measure of the machine's lag

Read once more: how late a busy machine lets a test's thread get to what is due was measured by `Lag` in silence.rs, and written again in throng.rs and twice in told.rs. It stands once in proxy/tests/common/lag.rs now. The accept loops have a file beside it (serve.rs), as the common file is long. The moved test of `ask` tells its io::Error where it told a String.

Bounds and assertions are unchanged, but for one that compares the answer itself where it compared `Ok` of it.

--- a/proxy/src/ask/tests.rs
+++ b/proxy/src/ask/tests.rs
@@ -5,7 +5,7 @@
 use std::net::TcpListener;
 
 /// What is made of an answer, sent whole as it stands here.
-fn asked(answer: &'static [u8]) -> Result<String, String> {
+fn asked(answer: &'static [u8]) -> io::Result<String> {
     let port = TcpListener::bind("127.0.0.1:0").expect("a port");
     let at = port.local_addr().expect("an address");
     let side = std::thread::spawn(move || {
@@ -14,7 +14,7 @@
         assert!(stream.read(&mut head).expect("a request") > 0);
         stream.write_all(answer).expect("answered");
     });
-    let told = ask(at, "/members.json", None, WAIT, "off there").map_err(|error| error.to_string());
+    let told = ask(at, "/members.json", None, WAIT, "off there");
     side.join().expect("it has answered");
     told
 }
@@ -22,7 +22,7 @@
 #[test]
 fn whatever_is_no_answer_is_told_as_what_it_is() {
     let whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
-    assert_eq!(asked(whole), Ok("{}".to_owned()));
+    assert_eq!(asked(whole).expect("an answer"), "{}");
     let cases: [(&[u8], &str); 5] = [
         (b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", "off there"),
         (b"HTTP/1.1 400 Bad Request\r\nContent-Length: 5\r\n\r\nwhat?", "does not understand: what?"),
@@ -31,7 +31,7 @@
         (b"SSH-2.0-OpenSSH\r\n", ""),
     ];
     for (answer, reason) in cases {
-        let told = asked(answer).expect_err("no answer");
+        let told = asked(answer).expect_err("no answer").to_string();
         assert!(told.contains(reason) && !told.is_empty(), "{told}");
     }
 }
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -2,9 +2,13 @@
 //! conditions, and `run` ends it with a failure when they do not come.
 #![allow(dead_code)]
 
+pub mod lag;
+pub mod serve;
+
 use flaxhead_proxy::config::Config;
 use flaxhead_proxy::side::Side;
 use serde_json::json;
+use serve::{bound, serve_each};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::Future;
@@ -124,45 +128,6 @@
     Act::Say("HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n".to_owned())
 }
 
-/// A port of the test's own, with a listener on it.
-pub async fn bound() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind((own(), 0)).await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    (listener, address)
-}
-
-/// Serves each connection that comes, beside the others.
-pub fn serve_each<F: Future<Output = ()> + 'static>(
-    listener: TcpListener,
-    serve: impl Fn(TcpStream) -> F + 'static,
-) {
-    spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            spawn_local(serve(stream));
-        }
-    });
-}
-
-/// Answers each request with 200 once `take` is done with it.
-pub fn answer_each<F: Future<Output = ()> + 'static>(
-    listener: TcpListener,
-    take: impl Fn(Message) -> F + Clone + 'static,
-) {
-    serve_each(listener, move |stream| {
-        let take = take.clone();
-        async move {
-            let mut reader = Reader::new(stream);
-            while let Some(message) = reader.message().await {
-                take(message).await;
-                let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                if reader.stream.write_all(answer).await.is_err() {
-                    return;
-                }
-            }
-        }
-    });
-}
-
 /// A host: it does one act after the other, and the last for good.
 #[derive(Clone)]
 pub struct Host {
--- a/proxy/tests/crowd.rs
+++ b/proxy/tests/crowd.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::serve::{answer_each, bound, serve_each};
 use common::*;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/proxy/tests/silence.rs
+++ b/proxy/tests/silence.rs
@@ -3,9 +3,10 @@
 
 mod common;
 
+use common::lag::Lag;
 use common::*;
 use flaxhead_discovery::Discovery as Watched;
-use flaxhead_engine::{spawn, Source, Task};
+use flaxhead_engine::{spawn, Source};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -87,32 +88,6 @@
     list(seq, false, &[entry("s-0", old.address, "Terminating"), entry("s-9", new.address, "Ready")])
 }
 
-/// How late this thread gets to what is due.
-struct Lag {
-    most: Rc<Cell<Duration>>,
-    _ticks: Task,
-}
-
-impl Lag {
-    fn watch() -> Lag {
-        let most = Rc::new(Cell::new(Duration::ZERO));
-        let seen = most.clone();
-        let ticks = spawn(async move {
-            const TICK: Duration = Duration::from_millis(10);
-            loop {
-                let due = Instant::now() + TICK;
-                sleep(TICK).await;
-                seen.set(seen.get().max(due.elapsed()));
-            }
-        });
-        Lag { most, _ticks: ticks }
-    }
-
-    fn most(&self) -> Duration {
-        self.most.get()
-    }
-}
-
 /// All watches fall silent at once: each is opened anew before what it missed counts as told, 6 s later, from the
 /// version in hand, and never more than three times the mean of them in a tenth of a second.
 fn fall_silent(watched: fn(SocketAddr, u64) -> Watched) {
--- a/proxy/tests/stop.rs
+++ b/proxy/tests/stop.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use common::serve::{answer_each, bound};
 use common::*;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/proxy/tests/throng.rs
+++ b/proxy/tests/throng.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use common::lag::Lag;
+use common::serve::{answer_each, bound, serve_each};
 use common::*;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
@@ -222,15 +224,7 @@
         }
         burst.set(BURST);
         discovery.tell(list(42, true, &entries));
-        let lag = Rc::new(Cell::new(Duration::ZERO));
-        let seen = lag.clone();
-        spawn_local(async move {
-            loop {
-                let due = Instant::now() + Duration::from_millis(10);
-                sleep_until(due).await;
-                seen.set(seen.get().max(due.elapsed()));
-            }
-        });
+        let lag = Lag::watch();
         let all = || cold.iter().map(|worker| worker.came.borrow().len()).sum::<usize>();
         eventually("the cold ones are used", || all() >= 12).await;
         // A third of the processes is started anew, and knows of them from its first moment on.
@@ -241,10 +235,10 @@
         while began.elapsed() < Duration::from_secs(10) {
             sleep(Duration::from_millis(50)).await;
         }
-        let worst = cold.iter().map(|worker| worker.worst(lag.get())).fold(0.0, f64::max);
-        println!("at most {worst:.2} of what may be sent, {} sent, at a lag of {:?}", all(), lag.get());
+        let worst = cold.iter().map(|worker| worker.worst(lag.most())).fold(0.0, f64::max);
+        println!("at most {worst:.2} of what may be sent, {} sent, at a lag of {:?}", all(), lag.most());
         assert!(all() >= 20, "they were left alone");
-        assert!(worst <= 1.0, "{worst} times what may be sent, at a lag of {:?}", lag.get());
+        assert!(worst <= 1.0, "{worst} times what may be sent, at a lag of {:?}", lag.most());
     });
 }
 
--- a/proxy/tests/told.rs
+++ b/proxy/tests/told.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use common::lag::Lag;
+use common::serve::{bound, serve_each};
 use common::*;
 use flaxhead_discovery::Discovery as Watched;
 use flaxhead_engine::{Engine, List, Setup};
@@ -108,13 +110,12 @@
     discovery.mended.set(true);
     let reached = Instant::now();
     let knows = |engine: &Engine<Http>| engine.view(|view| view.hosts().any(|host| host.name == "new"));
-    let mut lag = Duration::ZERO;
+    let lag = Lag::watch();
     while !engines.iter().all(knows) {
-        let due = Instant::now() + TICK;
         sleep(TICK).await;
-        lag = lag.max(due.elapsed());
         let late = engines.iter().filter(|engine| !knows(engine)).count();
-        let in_time = reached.elapsed() <= TOLD + 2 * lag;
+        let (elapsed, lag) = (reached.elapsed(), lag.most());
+        let in_time = elapsed <= TOLD + 2 * lag;
         assert!(in_time, "{failure:?}, asked {ask}: {late} have not been told, at a lag of {lag:?}");
     }
     println!("{failure:?}, asked {ask}: all told after {:?}", reached.elapsed());
@@ -186,12 +187,11 @@
             eventually("the second fails", || after.asks.get() >= 1).await;
             after.mended.set(true);
             let reached = Instant::now();
-            let mut lag = Duration::ZERO;
+            let lag = Lag::watch();
             while client.ask(&request("unsafe", "", "")).await.body != b"other" {
-                let due = Instant::now() + TICK;
                 sleep(TICK).await;
-                lag = lag.max(due.elapsed());
-                assert!(reached.elapsed() <= TOLD + 2 * lag, "{failure:?}: not known, at a lag of {lag:?}");
+                let (elapsed, lag) = (reached.elapsed(), lag.most());
+                assert!(elapsed <= TOLD + 2 * lag, "{failure:?}: not known, at a lag of {lag:?}");
             }
             let sent = drained.count();
             for _ in 0..30 {
