--- a/review/standin.rs
+++ b/review/standin.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::fs;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{exit, Child, Command, Stdio};
@@ -394,7 +394,7 @@
         zones: ["north-quay", "south-quay", "customs"],
         discovery: "push",
         second_copies: true,
-        max_attempts: 3,
+        max_attempts: 4,
         max_retry_after_ms: 0,
     }
 }
@@ -492,6 +492,7 @@
     agents: Vec<Arc<Agent>>,
     proxies: Vec<Proxy>,
     folder: PathBuf,
+    peers: Vec<u16>,
 }
 
 impl World {
@@ -515,17 +516,27 @@
         let folder = std::env::temp_dir().join(format!("flaxhead-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a folder");
         let mut world =
-            World { record: record.clone(), site, hosts, runs, agents, proxies: Vec::new(), folder };
+            World { record: record.clone(), site, hosts, runs, agents, proxies: Vec::new(), folder, peers: Vec::new() };
         let peers: Vec<u16> = (0..3).map(|_| free_port()).collect();
         for place in 0..3 {
-            world.start_proxy(place, &peers, sections);
+            let known = world.agents[place].list(None).1;
+            let proxy = world.start_proxy(place, (free_port(), free_port()), &peers, sections, &known);
+            world.proxies.push(proxy);
         }
+        world.peers = peers;
         world
     }
 
-    fn start_proxy(&mut self, place: usize, peers: &[u16], sections: &str) {
+    /// Starts a proxy, with the list of hosts that it last had.
+    fn start_proxy(
+        &self,
+        place: usize,
+        (listen, side): (u16, u16),
+        peers: &[u16],
+        sections: &str,
+        known: &str,
+    ) -> Proxy {
         let name = format!("p{}", place + 1);
-        let (listen, side) = (free_port(), free_port());
         let agent = &self.agents[place];
         let contacts: Vec<String> = peers.iter().map(|port| format!("127.0.0.1:{port}")).collect();
         let own = fs::read_to_string("deploy/flaxhead.ini").unwrap_or_default();
@@ -540,7 +551,7 @@
             r#"{{"name":"{name}","listen":"127.0.0.1:{listen}","discovery":"{}","seed":"{seed:016x}",
 "limits":{{"cores":1.0,"memory_mb":192,"sockets":384}},"known":{},"settings":{}}}"#,
             agent.address,
-            agent.list(None).1,
+            known,
             self.site.settings(place, 3)
         );
         let path = |end: &str| self.folder.join(format!("{name}.{end}"));
@@ -548,7 +559,7 @@
         fs::write(path("json"), config).expect("a file");
         let temporary = path("tmp");
         fs::create_dir_all(&temporary).expect("a folder");
-        let log = fs::File::create(path("log")).expect("a file");
+        let log = fs::OpenOptions::new().create(true).append(true).open(path("log")).expect("a file");
         // As the deploy file's `run`, with this deployment's operators' file.
         let command = format!("exec target/release/flaxhead {}", path("ini").display());
         let child = Command::new("/bin/sh")
@@ -565,7 +576,7 @@
         let pid = child.id() as i32;
         CHILDREN.lock().unwrap().push(child);
         let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-        self.proxies.push(Proxy { name, listen: at(listen), side: at(side), pid, place });
+        Proxy { name, listen: at(listen), side: at(side), pid, place }
     }
 
     /// Waits until every proxy serves.
@@ -748,6 +759,8 @@
         "stop" => stop(&record, trouble),
         "unlisted" => unlisted(&record, trouble),
         "again" => again(&record, trouble),
+        "gate" => gate(&record, trouble),
+        "twice" => twice(&record, trouble),
         _ => record.end(2, "no such scenario"),
     }
 }
@@ -983,3 +996,292 @@
     );
     world.end(i32::from(!begun.is_empty() || running > 0), &verdict)
 }
+
+/// Proxies that are killed together come back while hosts drain.
+fn gate(record: &Arc<Record>, trouble: bool) -> ! {
+    let mut world = World::start(record, harbour_tolls(), 6, WORK);
+    world.ready();
+    leader(&world);
+    let killed: Vec<Proxy> = world.proxies[..2].to_vec();
+    let known: Vec<String> = killed.iter().map(|proxy| world.agents[proxy.place].list(None).1).collect();
+    let mut told = vec![0.0; 2];
+    if trouble {
+        for proxy in &killed {
+            world.signal(proxy, SIGKILL, "SIGKILL");
+        }
+        sleep(ms(1_000));
+    }
+    record.note("discovery: h1 and h2 are Terminating, told to all that run");
+    let draining = ["h1", "h2"];
+    for host in draining {
+        world.agents.iter().for_each(|agent| agent.set_health(host, "Terminating"));
+    }
+    told.fill(record.now());
+    if trouble {
+        sleep(ms(1_000));
+        for (proxy, known) in killed.iter().zip(&known) {
+            let ports = (proxy.listen.port(), proxy.side.port());
+            let again = world.start_proxy(proxy.place, ports, &world.peers, WORK, known);
+            told[proxy.place] = record.note(format!("platform: {} is started again, with the list that it last had", proxy.name));
+            world.proxies[proxy.place] = again;
+        }
+    } else {
+        sleep(ms(6_000));
+    }
+    let world = Arc::new(world);
+    let clients: Vec<_> = (0..2)
+        .map(|place| {
+            let world = world.clone();
+            thread::spawn(move || {
+                let proxy = world.proxies[place].clone();
+                while get(proxy.listen, "/_health").map_or(0, |answer| answer.status()) != 200 {
+                    sleep(ms(5));
+                }
+                world.record.note(format!("{} says that it is ready; its clients send", proxy.name));
+                let waiting: Vec<_> = (0..20)
+                    .map(|_| {
+                        let mut client = Client::open(&proxy, &world.record, &proxy.name);
+                        client.send(&world.site, &Ask { class: "debit", budget_ms: 3_000, work_ms: 150, tenant: "", quiet: true });
+                        thread::spawn(move || client.answer(ms(3_500)))
+                    })
+                    .collect();
+                waiting.into_iter().for_each(|one| drop(one.join()));
+            })
+        })
+        .collect();
+    clients.into_iter().for_each(|one| drop(one.join()));
+    let runs = world.runs.lock().unwrap().clone();
+    let mut late = 0;
+    for run in runs.iter().filter(|run| draining.contains(&run.host.as_str())) {
+        let place = if run.call.ends_with("p1") { 0 } else { 1 };
+        let after = run.began - told[place];
+        if after > 2.55 {
+            late += 1;
+            record.note(format!("{} came to {} {after:.3} s after p{} was told that it drains", run.call, run.host, place + 1));
+        }
+    }
+    world.keep_logs();
+    world.end(i32::from(late > 0), &format!("{late} requests were sent to hosts that drain, later than 2.5 s after that was told"))
+}
+
+/// What a gRPC host does with one attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Act {
+    Answer(u64),
+    /// It runs, and the host hangs in the middle of its work: the answer comes this late.
+    Hang(u64),
+}
+
+/// Where and when each call was run. The class's hosts, all of one group, drop a repeat for the window.
+type Effects = BTreeMap<String, Vec<(String, f64)>>;
+
+/// A host over HTTP/2, with as much of it as one gRPC client needs.
+struct GrpcHost {
+    name: String,
+    effects: Arc<Mutex<Effects>>,
+    window_s: f64,
+    act: Act,
+    record: Arc<Record>,
+}
+
+fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = (payload.len() as u32).to_be_bytes()[1..].to_vec();
+    bytes.extend([kind, flags]);
+    bytes.extend(stream.to_be_bytes());
+    bytes.extend(payload);
+    bytes
+}
+
+/// A header block's field, literal and not indexed.
+fn literal(name: &str, value: &str) -> Vec<u8> {
+    let mut bytes = vec![0, name.len() as u8];
+    bytes.extend(name.bytes());
+    bytes.push(value.len() as u8);
+    bytes.extend(value.bytes());
+    bytes
+}
+
+impl GrpcHost {
+    fn start(
+        name: &str,
+        effects: &Arc<Mutex<Effects>>,
+        window_s: f64,
+        act: Act,
+        record: &Arc<Record>,
+    ) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (effects, record) = (effects.clone(), record.clone());
+        let host = Arc::new(GrpcHost { name: name.to_owned(), effects, window_s, act, record });
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let host = host.clone();
+                thread::spawn(move || host.serve(stream));
+            }
+        });
+        address
+    }
+
+    fn serve(self: Arc<GrpcHost>, stream: TcpStream) -> Option<()> {
+        stream.set_nodelay(true).ok()?;
+        let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
+        let send = |bytes: Vec<u8>| writer.lock().unwrap().write_all(&bytes).ok();
+        let mut reader = BufReader::new(stream);
+        reader.read_exact(&mut [0; 24]).ok()?;
+        send(frame(4, 0, 0, &[]))?;
+        let mut bodies: BTreeMap<u32, Vec<u8>> = BTreeMap::new();
+        loop {
+            let mut head = [0; 9];
+            reader.read_exact(&mut head).ok()?;
+            let length = u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize;
+            let (kind, flags) = (head[3], head[4]);
+            let id = u32::from_be_bytes([head[5], head[6], head[7], head[8]]) & 0x7fff_ffff;
+            let mut payload = vec![0; length];
+            reader.read_exact(&mut payload).ok()?;
+            match kind {
+                4 if flags & 1 == 0 => send(frame(4, 1, 0, &[]))?,
+                6 if flags & 1 == 0 => send(frame(6, 1, 0, &payload))?,
+                0 => bodies.entry(id).or_default().extend(&payload),
+                _ => {}
+            }
+            if kind <= 1 && flags & 1 == 1 {
+                let body = bodies.remove(&id).unwrap_or_default();
+                let text = String::from_utf8_lossy(body.get(5..).unwrap_or_default()).into_owned();
+                let (host, writer) = (self.clone(), writer.clone());
+                thread::spawn(move || host.run(&text, id, &writer));
+            }
+        }
+    }
+
+    /// One attempt, whole.
+    fn run(&self, text: &str, id: u32, writer: &Mutex<TcpStream>) -> Option<()> {
+        let call = text.split_once("call=")?.1.split('&').next()?.to_owned();
+        let now = self.record.now();
+        {
+            let mut effects = self.effects.lock().unwrap();
+            let applied = effects.entry(call.clone()).or_default();
+            let known = applied.iter().any(|(_, at)| now - at < self.window_s);
+            if !known {
+                applied.push((self.name.clone(), now));
+            }
+            let word = if known { "drops it, it was run lately" } else { "RUNS it" };
+            self.record.note(format!("host {}: {call} comes; the host {word}; {:?}", self.name, self.act));
+        }
+        let (Act::Answer(after) | Act::Hang(after)) = self.act;
+        sleep(ms(after));
+        let mut head = vec![0x88];
+        head.extend(literal("content-type", "application/grpc"));
+        let mut message = vec![0];
+        message.extend((call.len() as u32).to_be_bytes());
+        message.extend(call.bytes());
+        let mut bytes = frame(1, 4, id, &head);
+        bytes.extend(frame(0, 0, id, &message));
+        bytes.extend(frame(1, 5, id, &literal("grpc-status", "0")));
+        writer.lock().unwrap().write_all(&bytes).ok()
+    }
+}
+
+const APPLICATIONS: usize = 8;
+const CALLS_EACH: usize = 5;
+
+/// Starts the project's application that has the plug-in loaded.
+fn start_application(site: &Site, n: usize, listed: &[Listed], folder: &Path) -> SocketAddr {
+    let agent = Agent::start(listed);
+    let port = free_port();
+    let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_nanos());
+    let seed = (nanos as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let config = format!(
+        r#"{{"name":"a{n}","listen":"127.0.0.1:{port}","discovery":"{}","seed":"{seed:016x}","limits":{{"sockets":384}},"known":{},"settings":{}}}"#,
+        agent.address,
+        agent.list(None).1,
+        site.settings(n, APPLICATIONS)
+    );
+    let path = folder.join(format!("a{n}.json"));
+    fs::write(&path, config).expect("a file");
+    let child = Command::new("/bin/sh")
+        .args(["-c", "exec target/release/flaxhead-lab host"])
+        .env("ROUTER_CONFIG", path)
+        // It ends with its parent, by the end of its input.
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("a process");
+    CHILDREN.lock().unwrap().push(child);
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Hosts hang in the middle of keyed calls that applications make by the plug-in.
+fn twice(record: &Arc<Record>, trouble: bool) -> ! {
+    let site = harbour_tolls();
+    let effects = Arc::new(Mutex::new(Effects::default()));
+    let listed: Vec<Listed> = (0..6)
+        .map(|n| {
+            let name = format!("h{}", n + 1);
+            let act = if trouble && n % 2 == 0 { Act::Hang(6_000) } else { Act::Answer(100) };
+            let dial = GrpcHost::start(&name, &effects, 2.2, act, record);
+            Listed { name, dial, zone: site.zones[n % 3], block: n as u32 / 2, born_ms: 0 }
+        })
+        .collect();
+    let folder = std::env::temp_dir().join(format!("flaxhead-review-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a folder");
+    let applications: Vec<SocketAddr> =
+        (0..APPLICATIONS).map(|n| start_application(&site, n, &listed, &folder)).collect();
+    for at in &applications {
+        let until = Instant::now() + Duration::from_secs(20);
+        while get(*at, "/_health").map_or(0, |answer| answer.status()) != 200 {
+            if Instant::now() > until {
+                record.end(2, "an application is not ready");
+            }
+            sleep(ms(20));
+        }
+    }
+    sleep(ms(500));
+    record.note(format!("{APPLICATIONS} applications with the plug-in are ready"));
+    let calls: Vec<_> = (0..APPLICATIONS * CALLS_EACH)
+        .map(|n| {
+            let (record, at) = (record.clone(), applications[n % APPLICATIONS]);
+            thread::spawn(move || {
+                sleep(ms(100 * (n / APPLICATIONS) as u64));
+                let call = format!("c{n}");
+                let mut answers = Vec::new();
+                // A try is given up after 70% of the class's time. One that is said to have never run is made once more.
+                for budget in [1_750, 1_750] {
+                    let Ok(mut stream) = TcpStream::connect(at) else { return (call, answers) };
+                    let _ = stream.set_read_timeout(Some(ms(4_000)));
+                    let text = format!(
+                        "POST /api?call={call}& HTTP/1.1\r\nHost: api\r\nX-Call-Id: {call}\r\nX-Call-Class: passage\r\nIdempotency-Key: key-{call}\r\nX-Budget-Ms: {budget}\r\nContent-Length: 2\r\n\r\nhi"
+                    );
+                    record.note(format!("application: {call} is asked for, for {budget} ms"));
+                    let _ = stream.write_all(text.as_bytes());
+                    let status = Message::read(&mut BufReader::new(stream)).map_or(0, |answer| answer.status());
+                    let word = ["", ": it never ran"][usize::from(status == 503)];
+                    answers.push((record.note(format!("application: {call} got {status}{word}")), status));
+                    if status != 503 {
+                        break;
+                    }
+                    sleep(ms(600));
+                }
+                (call, answers)
+            })
+        })
+        .collect();
+    let answers: Vec<(String, Vec<(f64, u16)>)> = calls.into_iter().map(|one| one.join().unwrap()).collect();
+    let effects = effects.lock().unwrap().clone();
+    let (mut denied, mut doubled) = (0, 0);
+    for (call, answers) in &answers {
+        let applied = effects.get(call).cloned().unwrap_or_default();
+        let false_word = answers.iter().any(|(at, status)| *status == 503 && applied.iter().any(|(_, ran)| ran < at));
+        denied += usize::from(false_word);
+        doubled += usize::from(applied.len() > 1);
+        if false_word || applied.len() > 1 {
+            record.note(format!("{call}: answers {answers:.3?}; was run {} times: {applied:.3?}", applied.len()));
+        }
+    }
+    let _ = fs::remove_dir_all(&folder);
+    let verdict = format!(
+        "of {} keyed calls {denied} were said to have never run after they had run, and {doubled} were run twice",
+        APPLICATIONS * CALLS_EACH
+    );
+    record.end(i32::from(denied > 0 || doubled > 0), &verdict)
+}
