--- a/review/standin.rs
+++ b/review/standin.rs
@@ -760,6 +760,7 @@
         "unlisted" => unlisted(&record, trouble),
         "again" => again(&record, trouble),
         "gate" => gate(&record, trouble),
+        "left" => left(&record, trouble),
         "twice" => twice(&record, trouble),
         _ => record.end(2, "no such scenario"),
     }
@@ -1285,3 +1286,22 @@
     );
     record.end(i32::from(denied > 0 || doubled > 0), &verdict)
 }
+
+/// A proxy ends in order and does not come back; then a host is asked for.
+fn left(record: &Arc<Record>, trouble: bool) -> ! {
+    let world = World::start(record, harbour_tolls(), 6, WORK);
+    world.ready();
+    let lead = leader(&world);
+    let proxy = world.proxies[(lead + 1) % 3].clone();
+    if trouble {
+        world.signal(&proxy, SIGTERM, "SIGTERM");
+        // Longer than a lease and the longest call.
+        sleep(ms(15_000));
+    }
+    let (free, _) = ask_and_wait(&world, &world.proxies[lead].clone(), "h1", 30);
+    world.keep_logs();
+    match free {
+        Some(_) => world.end(0, "the host got free"),
+        None => world.end(1, "the host did not get free within 30 s, though the proxy that it waits for has ended in order"),
+    }
+}
