--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 cd "$folder/../.." || exit 2
 [ -x target/release/flaxhead ] || cargo build --release --locked || exit 2
 [ target/review/cases -nt review/standin.rs ] || review/build.sh || exit 2
-exec target/review/cases again "$folder"
+exec target/review/cases stop "$folder"
--- a/review/standin.rs
+++ b/review/standin.rs
@@ -24,6 +24,14 @@
     Duration::from_millis(count)
 }
 
+/// A number below a bound; the same each time but for the order of threads.
+fn random_below(bound: u64) -> u64 {
+    static DRAWN: AtomicU64 = AtomicU64::new(1);
+    let mut mixed = DRAWN.fetch_add(1, Ordering::SeqCst).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    (mixed ^ (mixed >> 31)) % bound
+}
+
 /// Children that must not outlive the scenario.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
@@ -88,6 +96,8 @@
     down: AtomicBool,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Arc<Record>,
+    /// Of a hundred answers, how many are followed by a second one some milliseconds later.
+    spoilt: AtomicU64,
 }
 
 impl Host {
@@ -100,6 +110,7 @@
             down: AtomicBool::new(false),
             runs: runs.clone(),
             record: record.clone(),
+            spoilt: AtomicU64::new(0),
         });
         let shared = host.clone();
         thread::spawn(move || {
@@ -171,6 +182,13 @@
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
             }
+            if random_below(100) < self.spoilt.load(Ordering::SeqCst) {
+                let Ok(mut writer) = writer.try_clone() else { return };
+                thread::spawn(move || {
+                    sleep(ms(1 + random_below(5)));
+                    let _ = writer.write_all(answer.as_bytes());
+                });
+            }
         }
     }
 
@@ -416,6 +434,24 @@
     }
 }
 
+/// The site of the brief.
+fn palermo_main() -> Site {
+    Site {
+        classes: vec![
+            class("balance", (600, 2_000), ("free", "all", 0), 1),
+            class("payee-check", (2_000, 5_000), ("free", "all", 0), 2),
+            class("standing-order", (2_000, 6_000), ("guarded", "cell", 6_000), 5),
+            class("send", (2_000, 6_000), ("single_shot", "all", 0), 10),
+        ],
+        tenants: vec![("banca-trinacria", 0.76), ("cassa-iblea", 0.24)],
+        zones: ["palermo", "catania", "milano"],
+        discovery: "push",
+        second_copies: true,
+        max_attempts: 5,
+        max_retry_after_ms: 2_000,
+    }
+}
+
 impl Site {
     fn settings(&self, me: usize, proxies: usize) -> String {
         let classes: Vec<String> = self
@@ -540,6 +576,7 @@
         let agent = &self.agents[place];
         let contacts: Vec<String> = peers.iter().map(|port| format!("127.0.0.1:{port}")).collect();
         let own = fs::read_to_string("deploy/flaxhead.ini").unwrap_or_default();
+        let in_service = sections.is_empty();
         let file = format!(
             "{own}\n[status]\nlisten_port = {side}\n[peers]\nlisten = 127.0.0.1:{}\ncontacts = {}\ncluster = review\nnetworks = 127.0.0.0/8\n{sections}",
             peers[place],
@@ -560,8 +597,9 @@
         let temporary = path("tmp");
         fs::create_dir_all(&temporary).expect("a folder");
         let log = fs::OpenOptions::new().create(true).append(true).open(path("log")).expect("a file");
-        // As the deploy file's `run`, with this deployment's operators' file.
-        let command = format!("exec target/release/flaxhead {}", path("ini").display());
+        // The deploy file's `run`, or the same with this deployment's operators' file.
+        let operators = if in_service { PathBuf::from("deploy/flaxhead.ini") } else { path("ini") };
+        let command = format!("exec target/release/flaxhead {}", operators.display());
         let child = Command::new("/bin/sh")
             .args(["-c", &command])
             .env("ROUTER_NAME", &name)
@@ -687,6 +725,8 @@
     record: Arc<Record>,
     call: String,
     quiet: bool,
+    /// Of the last answer.
+    body: String,
 }
 
 static CALLS: AtomicU64 = AtomicU64::new(1);
@@ -696,7 +736,7 @@
         let stream = TcpStream::connect(proxy.listen).expect("a connection");
         let _ = stream.set_nodelay(true);
         let (name, call) = (name.to_owned(), String::new());
-        Client { name, stream, record: record.clone(), call, quiet: false }
+        Client { name, stream, record: record.clone(), call, quiet: false, body: String::new() }
     }
 
     /// Sends a request whole; returns when its last byte was written.
@@ -711,6 +751,9 @@
         if !ask.tenant.is_empty() {
             let _ = write!(text, "X-Caller: {}\r\n", ask.tenant);
         }
+        if site.classes.iter().any(|class| class.name == ask.class && class.idempotency == "guarded") {
+            let _ = write!(text, "Idempotency-Key: key-{}\r\n", self.call);
+        }
         text.push_str(if method == "GET" { "\r\n" } else { "Content-Length: 2\r\n\r\nhi" });
         let written = self.stream.write_all(text.as_bytes()).is_ok();
         match (ask.quiet, written) {
@@ -725,7 +768,10 @@
         let _ = self.stream.set_read_timeout(Some(patience));
         let mut reader = BufReader::new(&self.stream);
         let answer = match Message::read(&mut reader) {
-            Some(message) => Answer::Status(message.status()),
+            Some(message) => {
+                self.body = String::from_utf8_lossy(&message.body).into_owned();
+                Answer::Status(message.status())
+            }
             None if Instant::now() + ms(2) >= until => Answer::None,
             None => Answer::Lost,
         };
@@ -760,6 +806,7 @@
         "unlisted" => unlisted(&record, trouble),
         "again" => again(&record, trouble),
         "gate" => gate(&record, trouble),
+        "foreign" => foreign(&record, trouble),
         "left" => left(&record, trouble),
         "twice" => twice(&record, trouble),
         _ => record.end(2, "no such scenario"),
@@ -1305,3 +1352,57 @@
         None => world.end(1, "the host did not get free within 30 s, though the proxy that it waits for has ended in order"),
     }
 }
+
+/// Hosts whose answers are followed by a second one, some milliseconds late, under the service's own configuration.
+fn foreign(record: &Arc<Record>, trouble: bool) -> ! {
+    let world = Arc::new(World::start(record, palermo_main(), 9, ""));
+    world.ready();
+    record.note("load: 9 clients at p1, 3 at p2, 1 at p3, each with one request at a time");
+    if trouble {
+        record.note("hosts: one of ten answers is followed by a second one, 1 to 5 ms later");
+        world.hosts.iter().for_each(|host| host.spoilt.store(10, Ordering::SeqCst));
+    }
+    let stopped = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..13)
+        .map(|n| {
+            let (world, stopped) = (world.clone(), stopped.clone());
+            let place = [0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 1, 1, 2][n];
+            thread::spawn(move || {
+                let proxy = &world.proxies[place];
+                let (mut served, mut other, mut wrong) = (0, 0, 0);
+                let mut client = Client::open(proxy, &world.record, &format!("{n}-load"));
+                while !stopped.load(Ordering::SeqCst) {
+                    let class = &world.site.classes[[0, 0, 0, 0, 0, 1, 1, 2, 2, 3][random_below(10) as usize]];
+                    let budget_ms = class.deadline_ms;
+                    let work_ms = 20 + random_below(60);
+                    client.send(&world.site, &Ask { class: class.name, budget_ms, work_ms, tenant: "banca-trinacria", quiet: true });
+                    match client.answer(ms(budget_ms + 1_000)) {
+                        Answer::Status(200) if client.body.starts_with(&format!("{} at ", client.call)) => served += 1,
+                        Answer::Status(200) => {
+                            wrong += 1;
+                            let Client { call, body, .. } = &client;
+                            world.record.note(format!("client: {call} ({}, {}) was served \"{body}\"", class.name, proxy.name));
+                        }
+                        Answer::Status(_) => other += 1,
+                        _ => {
+                            other += 1;
+                            client = Client::open(proxy, &world.record, &format!("{n}-load"));
+                        }
+                    }
+                    sleep(ms(random_below(200)));
+                }
+                (served, other, wrong)
+            })
+        })
+        .collect();
+    sleep(Duration::from_secs(40));
+    stopped.store(true, Ordering::SeqCst);
+    let (mut served, mut other, mut wrong) = (0, 0, 0);
+    for client in clients {
+        let (one, two, three) = client.join().unwrap();
+        (served, other, wrong) = (served + one, other + two, wrong + three);
+    }
+    world.keep_logs();
+    let verdict = format!("of {} requests {wrong} were served with another request's answer, {served} with their own", served + other + wrong);
+    world.end(i32::from(wrong > 0), &verdict)
+}
