proxy: serve no request with the late second response to another

Cause: HTTP/1.1 matches responses by order alone. A connection was idle as soon as its response was complete and the most recently used one was taken first (put_idle and take_idle in proxy/src/http/transport.rs), so the next request followed while the surplus response was still on its way.

Change: a connection rests for 20 ms before it is reused; what comes in that time closes it. Surplus bytes are noticed and counted (`surplus` in the log). For 60 s the connections of such a host carry one request each and all hosts' connections rest for twice as long as surplus bytes were late, which keeps later ones out after the first. idle.rs and surplus.rs decide that without I/O.

Left: a host's first surplus response, if it is later than the rest.

--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -1,5 +1,6 @@
 //! Connections to hosts, and one exchange on one of them.
 
+use super::surplus::HostSurplus;
 use flaxhead_engine::{spawn, BoxError, Task, WriteMeter};
 use flaxhead_policy::{LoadReport, Outcome};
 use http_body_util::{BodyExt, Full, Limited};
@@ -10,7 +11,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -18,8 +19,9 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Most bytes of a body, either way.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
@@ -39,20 +41,38 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    /// Where the bytes of the attempt that has the connection now are counted.
-    meter: Rc<RefCell<WriteMeter>>,
+    state: Rc<ConnectionState>,
     _task: Task,
     _slot: Rc<()>,
 }
 
+/// What a connection's stream shares with the exchanges on it.
+#[derive(Debug)]
+struct ConnectionState {
+    /// Where the bytes of the attempt that has the connection now are counted.
+    meter: RefCell<WriteMeter>,
+    /// Since when no request is outstanding; `None` while one is.
+    idle_since: Cell<Option<Instant>>,
+    surplus: HostSurplus,
+}
+
 impl Connection {
     /// Opens a connection; `slot` is held for as long as it is open.
-    pub async fn open(address: SocketAddr, limit: Duration, slot: Rc<()>) -> Result<Connection, BoxError> {
+    pub async fn open(
+        address: SocketAddr,
+        limit: Duration,
+        slot: Rc<()>,
+        surplus: HostSurplus,
+    ) -> Result<Connection, BoxError> {
         let stream = timeout(limit, dial(address)).await??;
-        let meter = Rc::new(RefCell::new(WriteMeter::default()));
-        let io = Metered { io: TokioIo::new(stream), meter: meter.clone() };
+        let state = Rc::new(ConnectionState {
+            meter: RefCell::default(),
+            idle_since: Cell::new(Some(Instant::now())),
+            surplus,
+        });
+        let io = Metered { io: TokioIo::new(stream), state: state.clone() };
         let (sender, connection) = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await?;
-        Ok(Connection { sender, meter, _task: spawn(connection), _slot: slot })
+        Ok(Connection { sender, state, _task: spawn(connection), _slot: slot })
     }
 
     /// Whether a request can be written to it now.
@@ -88,7 +108,7 @@
     request: Request<Full<Bytes>>,
     meter: &WriteMeter,
 ) -> Option<Exchanged> {
-    connection.meter.replace(meter.clone());
+    connection.state.meter.replace(meter.clone());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) if meter.bytes_written() == 0 => return None,
@@ -118,6 +138,7 @@
     };
     // Ready again before the outcome is told: else the next request would find no idle connection.
     let again = whole && matches!(timeout(DRAIN_TIMEOUT, connection.sender.ready()).await, Ok(Ok(())));
+    connection.state.idle_since.set(Some(Instant::now()));
     Some(Exchanged { outcome, load, response, connection: again.then_some(connection) })
 }
 
@@ -141,6 +162,9 @@
     }
 }
 
+/// Starts of a response by which a host may announce that it closes an idle connection (RFC 9110, 15.5.9).
+const REQUEST_TIMEOUTS: [&[u8]; 2] = [b"HTTP/1.1 408", b"HTTP/1.0 408"];
+
 /// Whether nothing stands to be read on a connection, neither bytes nor its end, by the system's word of this moment. A
 /// connection that is broken shows when it is written to.
 fn is_quiet(stream: &TcpStream) -> bool {
@@ -148,10 +172,25 @@
     SockRef::from(stream).peek(&mut byte).is_err()
 }
 
-/// A stream that counts what is written to it.
+/// A stream that counts what is written to it, and notices what comes on it without a request.
 struct Metered {
     io: TokioIo<TcpStream>,
-    meter: Rc<RefCell<WriteMeter>>,
+    state: Rc<ConnectionState>,
+}
+
+impl Metered {
+    /// Records bytes that stand to be read while no request is outstanding. Where the event queue has told of nothing,
+    /// this asks the system nothing.
+    fn notice_surplus(&self, context: &mut Context<'_>) {
+        let Some(idle_since) = self.state.idle_since.get() else { return };
+        let mut start = [0; REQUEST_TIMEOUTS[0].len()];
+        let mut start = ReadBuf::new(&mut start);
+        let peeked = self.io.inner().poll_peek(context, &mut start);
+        let bytes = start.filled();
+        if matches!(peeked, Poll::Ready(Ok(_))) && !bytes.is_empty() && !REQUEST_TIMEOUTS.contains(&bytes) {
+            self.state.surplus.record(Instant::now(), idle_since.elapsed());
+        }
+    }
 }
 
 impl Read for Metered {
@@ -160,6 +199,7 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        self.notice_surplus(context);
         Pin::new(&mut self.io).poll_read(context, buffer)
     }
 }
@@ -170,7 +210,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let meter = self.meter.borrow().clone();
+        let meter = self.state.meter.borrow().clone();
         // The request stands in the connection's queue, and its attempt counts as one that never ran.
         if meter.is_withdrawn() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
@@ -183,6 +223,7 @@
         let written = Pin::new(&mut self.io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
             meter.set_bytes_written(meter.bytes_written() + count);
+            self.state.idle_since.set(None);
         }
         written
     }
--- /dev/null
+++ b/proxy/src/http/idle/tests.rs
@@ -0,0 +1,82 @@
+//! Unit tests of `idle`.
+
+use super::*;
+
+const REST: Duration = Duration::from_millis(20);
+const MILLISECOND: Duration = Duration::from_millis(1);
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
+/// Connections 0, 1, 2, ... that became idle a millisecond after each other.
+fn idle_since(start: Instant, count: u32) -> IdleConnections<u32> {
+    let mut idle = IdleConnections::default();
+    (0..count).for_each(|connection| idle.put(start + connection * MILLISECOND, connection));
+    idle
+}
+
+fn take(idle: &mut IdleConnections<u32>, now: Instant) -> Option<u32> {
+    idle.take(now, REST, |_| true).map(|(_, connection)| connection)
+}
+
+#[test]
+fn a_connection_is_not_reused_before_it_has_rested() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 1);
+    assert_eq!(take(&mut idle, start + REST - MILLISECOND), None);
+    assert_eq!(take(&mut idle, start + REST), Some(0));
+    assert_eq!(idle.len(), 0);
+}
+
+#[test]
+fn the_connection_that_has_rested_longest_is_taken_while_none_has_rested_fully() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 4);
+    let now = start + REST + MILLISECOND;
+    assert_eq!(take(&mut idle, now), Some(0));
+    assert_eq!(take(&mut idle, now), Some(1));
+    assert_eq!(take(&mut idle, now), None, "the others still rest");
+}
+
+/// Connections that are not needed must age until they are closed.
+#[test]
+fn the_most_recently_used_of_the_fully_rested_connections_is_taken() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 4);
+    assert_eq!(take(&mut idle, start + FULL_REST + 2 * MILLISECOND), Some(2));
+    assert_eq!(idle.oldest_since(), Some(start));
+}
+
+#[test]
+fn a_full_rest_is_never_shorter_than_the_rest_that_is_asked_for() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 2);
+    let rest = 2 * FULL_REST;
+    assert!(idle.take(start + FULL_REST, rest, |_| true).is_none());
+    assert_eq!(idle.take(start + rest, rest, |_| true), Some((rest, 0)));
+}
+
+#[test]
+fn a_connection_that_does_not_fit_stays() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 1);
+    assert!(idle.take(start + REST, REST, |age| age < REST).is_none());
+    assert_eq!(idle.len(), 1);
+}
+
+#[test]
+fn connections_that_are_old_or_unusable_are_closed() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 3);
+    idle.retain(start + MAX_IDLE, MAX_IDLE, |connection| *connection != 1);
+    assert_eq!(idle.take_oldest(), Some(2));
+    assert_eq!(idle.len(), 0);
+}
+
+/// Connections that only listen must not add up while each request opens its own.
+#[test]
+fn few_connections_are_kept_to_listen() {
+    let start = Instant::now();
+    let mut idle = IdleConnections::default();
+    (0..20).for_each(|connection| idle.put_to_listen(start, connection));
+    assert_eq!(idle.len(), LISTENING_CONNECTIONS);
+    assert_eq!(idle.take_oldest(), Some(20 - LISTENING_CONNECTIONS), "the latest are kept");
+}
--- a/proxy/src/http/mod.rs
+++ b/proxy/src/http/mod.rs
@@ -3,7 +3,9 @@
 
 mod exchange;
 pub mod front;
+mod idle;
 mod reuse;
+mod surplus;
 mod transport;
 
 pub use transport::{Forward, Http};
--- a/proxy/src/http/transport.rs
+++ b/proxy/src/http/transport.rs
@@ -1,7 +1,9 @@
 //! The transport to hosts: one request at a time on a connection, idle ones kept for the next.
 
 use super::exchange::{exchange, Connection, Exchanged};
+use super::idle::IdleConnections;
 use super::reuse::ReuseStats;
+use super::surplus::{HostSurplus, Surplus};
 use flaxhead_engine::{AttemptResult, AttemptTarget, Transport, WriteMeter};
 use flaxhead_policy::{Outcome, ServerId};
 use http_body_util::Full;
@@ -46,12 +48,19 @@
     }
 }
 
-/// This proxy's idle connections to a host, the most recently used last.
-#[derive(Debug, Default)]
+/// This proxy's idle connections to a host.
+#[derive(Debug)]
 struct Pool {
     /// Where something new may be sent to; `None`: nowhere.
     dial: Option<SocketAddr>,
-    idle: Vec<(Instant, Connection)>,
+    idle: IdleConnections<Connection>,
+    surplus: HostSurplus,
+}
+
+impl Pool {
+    fn new(surplus: HostSurplus) -> Pool {
+        Pool { dial: None, idle: IdleConnections::default(), surplus }
+    }
 }
 
 /// Figures for the log.
@@ -66,6 +75,7 @@
 struct Pools {
     hosts: HashMap<ServerId, Pool>,
     reuse: ReuseStats,
+    surplus: Surplus,
     counts: Counts,
     /// One reference for each open connection to a host, and this one.
     slots: Rc<()>,
@@ -86,6 +96,7 @@
         Http(Rc::new(RefCell::new(Pools {
             hosts: HashMap::new(),
             reuse: ReuseStats::default(),
+            surplus: Surplus::default(),
             counts: Counts::default(),
             slots: Rc::default(),
             max_connections: connections_most,
@@ -112,12 +123,12 @@
             }
         }
         // Nothing has been written yet, so this is no second sending.
-        let (slot, limit) = {
+        let (slot, limit, surplus) = {
             let mut pools = self.0.borrow_mut();
-            (pools.slot(), pools.connect_timeout)
+            (pools.slot(), pools.connect_timeout, pools.surplus_of(target.server))
         };
         let Some(slot) = slot else { return Exchanged::without_response(Outcome::NotSent) };
-        let opened = Connection::open(target.address, limit, slot).await;
+        let opened = Connection::open(target.address, limit, slot, surplus).await;
         {
             let counts = &mut self.0.borrow_mut().counts;
             *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1;
@@ -135,8 +146,8 @@
     type Response = Response<Bytes>;
 
     fn set_endpoint(&self, server: ServerId, dial: Option<SocketAddr>, restarted: bool) {
-        let mut pools = self.0.borrow_mut();
-        let pool = pools.hosts.entry(server).or_default();
+        let Pools { hosts, surplus, .. } = &mut *self.0.borrow_mut();
+        let pool = hosts.entry(server).or_insert_with(|| Pool::new(surplus.of_host()));
         if dial.is_none() || restarted {
             pool.idle.clear();
         }
@@ -170,18 +181,17 @@
     fn sweep(&self) {
         let pools = &mut *self.0.borrow_mut();
         pools.reuse.decay();
-        pools
-            .hosts
-            .values_mut()
-            .for_each(|pool| pool.idle.retain(|(since, _)| since.elapsed() < pools.max_idle));
+        let (now, max_idle) = (Instant::now(), pools.max_idle);
+        pools.hosts.values_mut().for_each(|pool| pool.idle.retain(now, max_idle, |_| true));
     }
 
     fn stats(&self) -> impl Debug {
         let pools = self.0.borrow();
         let idle: usize = pools.hosts.values().map(|pool| pool.idle.len()).sum();
         let open = Rc::strong_count(&pools.slots) - 1;
+        let surplus = pools.surplus.count();
         let Counts { opened, open_failed, broken_reuse } = pools.counts;
-        Figures { open, idle, opened, open_failed, broken_reuse }
+        Figures { open, idle, opened, open_failed, broken_reuse, surplus }
     }
 }
 
@@ -194,33 +204,48 @@
     opened: u64,
     open_failed: u64,
     broken_reuse: u64,
+    /// Those on which a host has sent bytes without a request.
+    surplus: u64,
 }
 
 impl Pools {
     /// An idle connection that is fit for an attempt, and for how long it has been idle.
     fn take_idle(&mut self, target: &AttemptTarget) -> Option<(Duration, Connection)> {
-        let Pools { hosts, reuse, max_idle, .. } = self;
-        let idle = &mut hosts.get_mut(&target.server)?.idle;
+        let Pools { hosts, reuse, surplus, max_idle, .. } = self;
+        let pool = hosts.get_mut(&target.server)?;
+        let now = Instant::now();
+        if pool.surplus.is_distrusted(now) {
+            return None;
+        }
         // Old ones and those closed meanwhile are passed over.
-        idle.retain(|(since, connection)| since.elapsed() < *max_idle && connection.is_ready());
+        pool.idle.retain(now, *max_idle, Connection::is_ready);
         // A request that must not go again goes on no connection that may have been dropped without a sign.
-        let fit = |since: &Instant| !target.non_idempotent || !reuse.is_stale(since.elapsed());
-        let (since, connection) = idle.pop_if(|(since, _)| fit(since))?;
-        Some((since.elapsed(), connection))
+        pool.idle.take(now, surplus.rest(now), |idle| !target.non_idempotent || !reuse.is_stale(idle))
     }
 
     fn put_idle(&mut self, target: &AttemptTarget, connection: Connection) {
         let pool = self.hosts.get_mut(&target.server).filter(|pool| pool.dial == Some(target.address));
-        if let Some(pool) = pool {
-            pool.idle.push((Instant::now(), connection));
+        let Some(pool) = pool else { return };
+        let now = Instant::now();
+        match pool.surplus.is_distrusted(now) {
+            true => pool.idle.put_to_listen(now, connection),
+            false => pool.idle.put(now, connection),
         }
     }
 
+    /// Where surplus bytes of a host are recorded.
+    fn surplus_of(&self, server: ServerId) -> HostSurplus {
+        let listed = self.hosts.get(&server).map(|pool| pool.surplus.clone());
+        listed.unwrap_or_else(|| self.surplus.of_host())
+    }
+
     /// A place for one more connection to a host; the oldest idle one makes room when there is none.
     fn slot(&mut self) -> Option<Rc<()>> {
         if Rc::strong_count(&self.slots) > self.max_connections {
-            let oldest = self.hosts.values_mut().filter(|pool| !pool.idle.is_empty());
-            oldest.min_by_key(|pool| pool.idle[0].0)?.idle.remove(0);
+            let idle = self.hosts.values_mut().map(|pool| &mut pool.idle);
+            let oldest =
+                idle.filter_map(|idle| Some((idle.oldest_since()?, idle))).min_by_key(|(since, _)| *since);
+            oldest?.1.take_oldest();
         }
         Some(self.slots.clone())
     }
