proxy: answer calls that still wait for a permit when the stop ends

Cause: after 3.55 s the stop completes the calls that the engine has (Engine::complete_all_calls in proxy/src/http/front/mod.rs). A call in its tenant's queue (AdmissionQueues::wait) is not among them, and the stage of the stop was looked at only before the wait. Permits of completed calls also admitted further calls into an engine that completes nothing any more.

Hypotheses and what ruled them out: - The 0.1 s for the last responses are too short: the same 0.1 s carry all nine responses once the queues are closed. - Hosts answered too late: the eight calls never began at a host. - The stop does not know queued calls: confirmed. Without the line that closes the queues the new test gets no response.

Change: AdmissionController::close rejects queued and later calls. The stop closes the queues first, then completes the engine's calls, and the front looks at the stage again after admission, for a permit that was on its way. Callers get 503 with Retry-After 0: the call never ran.

--- a/proxy/src/features/quota/queues.rs
+++ b/proxy/src/features/quota/queues.rs
@@ -170,6 +170,15 @@
         self.wake_all(verdicts);
     }
 
+    /// Rejects all waiting calls and every later one, because the proxy ends. Returns how many were waiting.
+    pub fn close(&self) -> usize {
+        let (now, mut verdicts) = (self.now(), Verdicts::new());
+        self.0.state.borrow_mut().controller.close(now, &mut verdicts);
+        let rejected = verdicts.len();
+        self.wake_all(verdicts);
+        rejected
+    }
+
     /// Does what is due by time alone, for good.
     pub async fn serve(&self) {
         loop {
--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -154,9 +154,6 @@
         };
         self.activity.record_request();
         self.activity.enter(Phase::Responding);
-        if *self.stage.borrow() == ShutdownStage::Answered {
-            return rejected(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
-        }
         // A client that goes meanwhile leaves its queue.
         let ticket = match &self.driver.queues {
             None => None,
@@ -165,6 +162,10 @@
                 Err(after) => return rejected(StatusCode::SERVICE_UNAVAILABLE, after),
             },
         };
+        // Also where it was admitted just before: the engine completes nothing that comes later.
+        if *self.stage.borrow() == ShutdownStage::Answered {
+            return rejected(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
+        }
         let reply = self.driver.engine.request(ask, forward, ticket).reply().await;
         match (code(&reply), reply) {
             (_, Reply::Served(answer)) => served(answer),
--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -67,7 +67,7 @@
 ) {
     let access = access.map(Rc::new);
     let longest = driver.config.longest_deadline().min(MAX_STOP_DEADLINE);
-    let engine = driver.engine.clone();
+    let (engine, queues) = (driver.engine.clone(), driver.queues.clone());
     let mut clients =
         Clients { driver, access, stage: watch::Sender::new(ShutdownStage::Serving), open: Vec::new() };
     let mut stop = pin!(async {
@@ -102,6 +102,11 @@
     // Nothing that was taken goes without an answer, also where its client would wait for longer than the process lives.
     if timeout_at(told + longest + STOP_ANSWER_DELAY, clients.wait_for_all_closed()).await.is_err() {
         clients.stage.send_replace(ShutdownStage::Answered);
+        // The queues first: permits that completed calls return must not admit further ones.
+        if let Some(queues) = queues {
+            let rejected = queues.close();
+            tracing::info!("stop: rejected {rejected} calls that waited for a permit");
+        }
         engine.complete_all_calls();
         // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
         let _ = timeout(STOP_FLUSH_TIMEOUT, clients.wait_for_all_closed()).await;
--- a/proxy/tests/shares.rs
+++ b/proxy/tests/shares.rs
@@ -18,7 +18,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
+
+/// Longer than a stop lasts.
+const PATIENCE: Duration = Duration::from_secs(10);
 
 const PEERS: &str = "[peers]\nlisten = 127.0.0.1:7946\ncluster = a\nnetworks = 127.0.0.0/8\n";
 
@@ -149,6 +152,34 @@
     });
 }
 
+/// Guards against a stop that leaves calls without an answer that would wait for a permit for longer than it lasts.
+#[test]
+fn a_stop_rejects_what_would_wait_past_it() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let (mut proxy, shares) = capped(&host, "alfa 1", tenants).await;
+        let mut clients = Vec::new();
+        for queued in 0..6 {
+            let mut client = proxy.client().await;
+            client.send(&from("alfa", 8_900)).await;
+            eventually("it waits", || of(&shares, 0) == (1, queued)).await;
+            clients.push(client);
+        }
+        drop(proxy.stop.take());
+        let mut statuses = Vec::new();
+        for client in &mut clients {
+            let answer = timeout(PATIENCE, client.message()).await.expect("an answer before the proxy ends");
+            statuses.push(answer.expect("no close without an answer").status());
+        }
+        proxy.task.await.expect("it ends");
+        assert!(statuses.iter().all(|status| [502, 503].contains(status)), "{statuses:?}");
+        // An attempt may end by its own time before that, which lets the next call go.
+        let failed = statuses.iter().filter(|status| **status == 502).count();
+        assert_eq!(failed, host.count(), "what has not come to the host never ran: {statuses:?}");
+        assert!(failed < 6, "none waited past the stop");
+    });
+}
+
 #[test]
 fn wrong_sections_end_the_start_with_file_and_line() {
     run(async {
--- a/quota/src/admission/mod.rs
+++ b/quota/src/admission/mod.rs
@@ -78,7 +78,8 @@
 pub enum Verdict {
     /// The call may start. Its permit has to be returned by [`AdmissionController::release`] when it ends.
     Admitted,
-    /// The call must not start: the queue is full, or no permit is expected before the queue timeout.
+    /// The call must not start: the queue is full, no permit is expected before the queue timeout, or the
+    /// process ends.
     Rejected {
         /// Time after which the client may send the call again.
         retry_after: Micros,
@@ -136,6 +137,8 @@
     /// Whether the process waits for its slot to be decided. Meanwhile calls of a tenant with a cap of 0 are
     /// queued instead of rejected.
     expects_more: bool,
+    /// Whether no call is admitted any more.
+    is_closed: bool,
 }
 
 impl AdmissionController {
@@ -161,6 +164,7 @@
             queue_timeouts: BTreeSet::new(),
             next_arrival_number: 0,
             expects_more,
+            is_closed: false,
         };
         controller.set_allowance(now, allowance, expects_more, &mut Vec::new());
         controller
@@ -193,6 +197,9 @@
     /// Decides on a new call, which is admitted, queued or rejected.
     pub fn request(&mut self, now: Micros, request: AdmissionRequest) -> AdmissionDecision {
         let tenant = self.queue_index(request.tenant);
+        if self.is_closed {
+            return AdmissionDecision::Decided(self.reject(now, tenant));
+        }
         if self.has_permit(now, tenant) && self.queues[tenant].is_empty() {
             self.admit(now, tenant);
             return AdmissionDecision::Decided(Verdict::Admitted);
@@ -218,6 +225,16 @@
         }
     }
 
+    /// Rejects all queued calls and every later call, because the process ends. Permits in use are not affected.
+    pub fn close(&mut self, now: Micros, verdicts: &mut Verdicts) {
+        self.is_closed = true;
+        for tenant in 0..self.queues.len() {
+            while let Some(call) = self.pop(tenant) {
+                self.reject_queued(now, call, verdicts);
+            }
+        }
+    }
+
     /// Takes a permit for a hedged request, which is never queued. Returns whether a permit was free.
     pub fn acquire_extra(&mut self, now: Micros, tenant: Option<usize>) -> bool {
         let tenant = self.queue_index(tenant);
@@ -418,6 +435,10 @@
     }
 
     fn retry_after(&self, now: Micros, tenant: usize) -> Micros {
+        if self.is_closed {
+            // Another process may admit the call at once.
+            return 0;
+        }
         let max = self.config.max_retry_after;
         if self.is_blocked(now, tenant) {
             return max;
--- a/quota/tests/admission.rs
+++ b/quota/tests/admission.rs
@@ -313,6 +313,26 @@
     controller.request(now, AdmissionRequest { tenant: None, class: 0, deadline: now + 1_000 })
 }
 
+/// Guards against calls that are left in the queue, or admitted, after the process has answered all others.
+#[test]
+fn a_closed_controller_rejects_queued_calls_and_later_ones() {
+    let mut controller = one_tenant(1);
+    assert_eq!(request(&mut controller, 0), AdmissionDecision::Decided(Verdict::Admitted));
+    let queued: Vec<AdmissionDecision> = (0..2).map(|_| request(&mut controller, 10)).collect();
+    let mut verdicts = Verdicts::new();
+    controller.close(20, &mut verdicts);
+    let rejected = Verdict::Rejected { retry_after: 0 };
+    let decisions: Vec<AdmissionDecision> =
+        verdicts.iter().map(|rejection| AdmissionDecision::Queued(rejection.call)).collect();
+    assert_eq!(decisions, queued);
+    assert!(verdicts.iter().all(|rejection| rejection.verdict == rejected));
+    verdicts.clear();
+    controller.release(30, None, &mut verdicts);
+    assert_eq!(verdicts, []);
+    assert_eq!(request(&mut controller, 40), AdmissionDecision::Decided(rejected));
+    assert_eq!(controller.next_due(), None);
+}
+
 #[test]
 fn a_call_that_cannot_be_admitted_in_time_is_rejected_at_once() {
     let mut controller = one_tenant(1);
