--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -70,16 +70,39 @@
     let (engine, queues) = (driver.engine.clone(), driver.queues.clone());
     let mut clients =
         Clients { driver, access, stage: watch::Sender::new(ShutdownStage::Serving), open: Vec::new() };
+    let told = accept_until_stopped(&listener, &mut clients, stop).await;
+    // What the machine has accepted by now has been taken: closing the listener would reset it.
+    while clients.has_capacity() {
+        let Ok(Ok((stream, peer))) = timeout(LAST_ACCEPT_TIMEOUT, listener.accept()).await else { break };
+        clients.serve(stream, peer.ip());
+    }
+    drop(listener);
+    clients.stage.send_replace(ShutdownStage::Closing);
+    // Nothing that was taken goes without an answer, also where its client would wait for longer than the process lives.
+    if timeout_at(told + longest + STOP_ANSWER_DELAY, clients.wait_for_all_closed()).await.is_err() {
+        clients.stage.send_replace(ShutdownStage::Answered);
+        answer_open_calls(&engine, queues.as_ref());
+        // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
+        let _ = timeout(STOP_FLUSH_TIMEOUT, clients.wait_for_all_closed()).await;
+    }
+}
+
+/// Takes connections until `stop` is done, and for as long after that as new ones may come. Returns when `stop` was done.
+async fn accept_until_stopped(
+    listener: &TcpListener,
+    clients: &mut Clients,
+    stop: impl Future<Output = ()>,
+) -> Instant {
     let mut stop = pin!(async {
         stop.await;
         let told = Instant::now();
         sleep(STOP_ACCEPT_TIME).await;
         told
     });
-    let told = loop {
+    loop {
         tokio::select! {
             () = clients.wait_for_capacity() => {}
-            told = &mut stop => break told,
+            told = &mut stop => return told,
         }
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -89,26 +112,17 @@
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
-            told = &mut stop => break told,
+            told = &mut stop => return told,
         }
-    };
-    // What the machine has accepted by now has been taken: closing the listener would reset it.
-    while clients.has_capacity() {
-        let Ok(Ok((stream, peer))) = timeout(LAST_ACCEPT_TIMEOUT, listener.accept()).await else { break };
-        clients.serve(stream, peer.ip());
     }
-    drop(listener);
-    clients.stage.send_replace(ShutdownStage::Closing);
-    // Nothing that was taken goes without an answer, also where its client would wait for longer than the process lives.
-    if timeout_at(told + longest + STOP_ANSWER_DELAY, clients.wait_for_all_closed()).await.is_err() {
-        clients.stage.send_replace(ShutdownStage::Answered);
-        // The queues first: permits that completed calls return must not admit further ones.
-        if let Some(queues) = queues {
-            let rejected = queues.close();
-            tracing::info!("stop: rejected {rejected} calls that waited for a permit");
-        }
-        engine.complete_all_calls();
-        // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
-        let _ = timeout(STOP_FLUSH_TIMEOUT, clients.wait_for_all_closed()).await;
+}
+
+/// Answers all calls that are still open.
+fn answer_open_calls(engine: &Engine, queues: Option<&AdmissionQueues>) {
+    // The queues first: permits that completed calls return must not admit further ones.
+    if let Some(queues) = queues {
+        let rejected = queues.close();
+        tracing::info!("stop: rejected {rejected} calls that waited for a permit");
     }
+    engine.complete_all_calls();
 }
--- a/proxy/src/http/idle.rs
+++ b/proxy/src/http/idle.rs
@@ -9,6 +9,15 @@
 /// How many connections stay open to a host that none is reused to, to notice surplus bytes.
 const LISTENING_CONNECTIONS: usize = 4;
 
+/// A connection that is taken from the idle ones for a request.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Reused<C> {
+    /// The connection.
+    pub connection: C,
+    /// How long it has been idle.
+    pub idle_time: Duration,
+}
+
 /// An idle connection.
 #[derive(Debug)]
 struct Idle<C> {
@@ -40,19 +49,22 @@
         }
     }
 
-    /// Removes a connection that has rested for at least `rest` and returns it with its idle time, if that is `fit`:
-    /// the most recently used one that has rested fully, otherwise the one that has rested longest.
+    /// Removes a connection that has rested for at least `rest`, if its idle time is `fit`: the most recently used one
+    /// that has rested fully, otherwise the one that has rested longest.
     pub fn take(
         &mut self,
         now: Instant,
         rest: Duration,
         fit: impl FnOnce(Duration) -> bool,
-    ) -> Option<(Duration, C)> {
-        let idle_time = |idle: &Idle<C>| now.saturating_duration_since(idle.since);
-        let fully_rested = self.0.iter().rposition(|idle| idle_time(idle) >= rest.max(FULL_REST));
+    ) -> Option<Reused<C>> {
+        let time_since = |idle: &Idle<C>| now.saturating_duration_since(idle.since);
+        let fully_rested = self.0.iter().rposition(|idle| time_since(idle) >= rest.max(FULL_REST));
         let index = fully_rested.unwrap_or(0);
-        let idle = self.0.get(index).map(idle_time).filter(|idle| *idle >= rest && fit(*idle))?;
-        self.0.remove(index).map(|taken| (idle, taken.connection))
+        let idle_time = self.0.get(index).map(time_since)?;
+        if idle_time < rest || !fit(idle_time) {
+            return None;
+        }
+        self.0.remove(index).map(|taken| Reused { connection: taken.connection, idle_time })
     }
 
     /// Removes and returns the connection that has been idle longest.
--- a/proxy/src/http/idle/tests.rs
+++ b/proxy/src/http/idle/tests.rs
@@ -14,7 +14,7 @@
 }
 
 fn take(idle: &mut IdleConnections<u32>, now: Instant) -> Option<u32> {
-    idle.take(now, REST, |_| true).map(|(_, connection)| connection)
+    idle.take(now, REST, |_| true).map(|reused| reused.connection)
 }
 
 #[test]
@@ -51,7 +51,7 @@
     let mut idle = idle_since(start, 2);
     let rest = 2 * FULL_REST;
     assert!(idle.take(start + FULL_REST, rest, |_| true).is_none());
-    assert_eq!(idle.take(start + rest, rest, |_| true), Some((rest, 0)));
+    assert_eq!(idle.take(start + rest, rest, |_| true), Some(Reused { connection: 0, idle_time: rest }));
 }
 
 #[test]
--- a/proxy/src/http/mod.rs
+++ b/proxy/src/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod front;
 mod idle;
 mod reuse;
+mod stream;
 mod surplus;
 mod transport;
 
--- a/proxy/src/http/transport.rs
+++ b/proxy/src/http/transport.rs
@@ -1,7 +1,7 @@
 //! The transport to hosts: one request at a time on a connection, idle ones kept for the next.
 
 use super::exchange::{exchange, Connection, Exchanged};
-use super::idle::IdleConnections;
+use super::idle::{IdleConnections, Reused};
 use super::reuse::ReuseStats;
 use super::surplus::{HostSurplus, Surplus};
 use flaxhead_engine::{AttemptResult, AttemptTarget, Transport, WriteMeter};
@@ -108,16 +108,16 @@
     async fn attempt(
         self,
         target: AttemptTarget,
-        kept: Option<(Duration, Connection)>,
+        reused: Option<Reused<Connection>>,
         forward: Rc<Forward>,
         meter: WriteMeter,
     ) -> Exchanged {
-        if let Some((idle, connection)) = kept {
+        if let Some(Reused { connection, idle_time }) = reused {
             let done = exchange(connection, forward.request(target.deadline), &meter).await;
             let broken = done.as_ref().is_none_or(|done| done.outcome == Outcome::Reset);
             let mut pools = self.0.borrow_mut();
             pools.counts.broken_reuse += u64::from(broken);
-            pools.reuse.record(idle, broken);
+            pools.reuse.record(idle_time, broken);
             if let Some(done) = done {
                 return done;
             }
@@ -164,11 +164,11 @@
         forward: &Rc<Forward>,
         meter: &WriteMeter,
     ) -> impl Future<Output = AttemptResult<Response<Bytes>>> + use<> + 'static {
-        let kept = self.0.borrow_mut().take_idle(&target);
+        let reused = self.0.borrow_mut().take_idle(&target);
         let (http, forward, meter) = (self.clone(), forward.clone(), meter.clone());
         async move {
             let Exchanged { outcome, load, response, connection } =
-                http.clone().attempt(target, kept, forward, meter).await;
+                http.clone().attempt(target, reused, forward, meter).await;
             // Back before the outcome is told: else the call that it lets go would open another.
             if let Some(connection) = connection {
                 http.0.borrow_mut().put_idle(&target, connection);
@@ -209,8 +209,8 @@
 }
 
 impl Pools {
-    /// An idle connection that is fit for an attempt, and for how long it has been idle.
-    fn take_idle(&mut self, target: &AttemptTarget) -> Option<(Duration, Connection)> {
+    /// An idle connection that is fit for an attempt.
+    fn take_idle(&mut self, target: &AttemptTarget) -> Option<Reused<Connection>> {
         let Pools { hosts, reuse, surplus, max_idle, .. } = self;
         let pool = hosts.get_mut(&target.server)?;
         let now = Instant::now();
@@ -220,7 +220,8 @@
         // Old ones and those closed meanwhile are passed over.
         pool.idle.retain(now, *max_idle, Connection::is_ready);
         // A request that must not go again goes on no connection that may have been dropped without a sign.
-        pool.idle.take(now, surplus.rest(now), |idle| !target.non_idempotent || !reuse.is_stale(idle))
+        pool.idle
+            .take(now, surplus.rest(now), |idle_time| !target.non_idempotent || !reuse.is_stale(idle_time))
     }
 
     fn put_idle(&mut self, target: &AttemptTarget, connection: Connection) {
--- a/proxy/tests/surplus.rs
+++ b/proxy/tests/surplus.rs
@@ -101,6 +101,40 @@
     });
 }
 
+/// A host may announce by a 408 that it closes an idle connection: that is no answer to anything.
+#[test]
+fn an_announced_close_of_an_idle_connection_is_no_second_answer() {
+    run(async {
+        let (listener, address) = bound().await;
+        let opened = Rc::new(Cell::new(0));
+        let count = opened.clone();
+        serve_each(listener, move |stream| {
+            let count = count.clone();
+            async move {
+                count.set(count.get() + 1);
+                let (first, mut reader) = (count.get() == 1, Reader::new(stream));
+                while reader.message().await.is_some() {
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                    reader.stream.write_all(answer).await.expect("written");
+                    if first {
+                        sleep(WORK).await;
+                        let close =
+                            b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                        return reader.stream.write_all(close).await.expect("written");
+                    }
+                }
+            }
+        });
+        let proxy = Proxy::start(&[Host { address, ..Host::start([ok("")]).await }]).await;
+        let mut client = proxy.client().await;
+        for _ in 0..5 {
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+            sleep(PAUSE).await;
+        }
+        assert_eq!(opened.get(), 2);
+    });
+}
+
 /// Without second answers, requests in a row take turns on the few connections that rest meanwhile.
 #[test]
 fn requests_without_a_pause_share_few_connections() {
