proxy: a stale connection keeps no request from one that is not stale

IdleConnections::take picked by rest first and asked then whether the connection was fit, so that a request that must not run twice opened a connection although a fresher idle one would have done. Only connections that are fit are chosen from now. The unit test in idle/tests.rs fails on the selection before.

--- a/proxy/src/http/idle.rs
+++ b/proxy/src/http/idle.rs
@@ -49,21 +49,19 @@
         }
     }
 
-    /// Removes a connection that has rested for at least `rest`, if its idle time is `fit`: the most recently used one
+    /// Removes a connection that has rested for at least `rest` and whose idle time is `fit`: the most recently used one
     /// that has rested fully, otherwise the one that has rested longest.
     pub fn take(
         &mut self,
         now: Instant,
         rest: Duration,
-        fit: impl FnOnce(Duration) -> bool,
+        fit: impl Fn(Duration) -> bool,
     ) -> Option<Reused<C>> {
         let time_since = |idle: &Idle<C>| now.saturating_duration_since(idle.since);
-        let fully_rested = self.0.iter().rposition(|idle| time_since(idle) >= rest.max(FULL_REST));
-        let index = fully_rested.unwrap_or(0);
-        let idle_time = self.0.get(index).map(time_since)?;
-        if idle_time < rest || !fit(idle_time) {
-            return None;
-        }
+        let is_usable = |idle: &Idle<C>, rest: Duration| time_since(idle) >= rest && fit(time_since(idle));
+        let fully_rested = self.0.iter().rposition(|idle| is_usable(idle, rest.max(FULL_REST)));
+        let index = fully_rested.or_else(|| self.0.iter().position(|idle| is_usable(idle, rest)))?;
+        let idle_time = time_since(&self.0[index]);
         self.0.remove(index).map(|taken| Reused { connection: taken.connection, idle_time })
     }
 
--- a/proxy/src/http/idle/tests.rs
+++ b/proxy/src/http/idle/tests.rs
@@ -62,6 +62,18 @@
     assert_eq!(idle.len(), 1);
 }
 
+/// Connections that have gone stale must not keep a request from those that have not.
+#[test]
+fn a_connection_that_fits_is_taken_before_those_that_have_rested_longer() {
+    let start = Instant::now();
+    let mut idle = idle_since(start, 1);
+    let later = start + FULL_REST;
+    idle.put(later, 1);
+    let now = later + REST;
+    assert_eq!(idle.take(now, REST, |age| age < FULL_REST), Some(Reused { connection: 1, idle_time: REST }));
+    assert_eq!(take(&mut idle, now), Some(0));
+}
+
 #[test]
 fn connections_that_are_old_or_unusable_are_closed() {
     let start = Instant::now();
