proxy: requests wait for a connection's rest rather than open another one

At fault was the connection that a request opened whenever all idle ones rested: each costs its host more than a request's overhead.

A request now waits for what is left of a connection's rest, 20 ms at the most, and another connection is opened only once the waits at a host add up to a second, so that a busy host gets the connections that it needs.

--- a/proxy/src/http/idle.rs
+++ b/proxy/src/http/idle.rs
@@ -6,6 +6,10 @@
 
 /// Rest after which the most recently used connection is preferred, so that those that are not needed age.
 const FULL_REST: Duration = Duration::from_secs(1);
+/// For how much of a connection's rest a request waits rather than open another one, which costs its host more.
+const MAX_REST_WAIT: Duration = Duration::from_millis(20);
+/// Time that requests wait for connections of a host to rest, all together, before one of them opens another.
+const MAX_TOTAL_WAIT: Duration = Duration::from_secs(1);
 /// How many connections stay open to a host that none is reused to, to notice surplus bytes.
 const LISTENING_CONNECTIONS: usize = 4;
 
@@ -16,6 +20,8 @@
     pub connection: C,
     /// How long it has been idle.
     pub idle_time: Duration,
+    /// How long it has to rest before the request is sent.
+    pub rest_left: Duration,
 }
 
 /// An idle connection.
@@ -25,32 +31,38 @@
     connection: C,
 }
 
-/// Idle connections to one host, in the order in which their last responses ended.
+/// Idle connections to one host.
 #[derive(Debug)]
-pub struct IdleConnections<C>(VecDeque<Idle<C>>);
+pub struct IdleConnections<C> {
+    /// In the order in which their last responses ended.
+    connections: VecDeque<Idle<C>>,
+    /// How long requests have waited for connections to rest since one of them opened another.
+    waited: Duration,
+}
 
 impl<C> Default for IdleConnections<C> {
     fn default() -> Self {
-        IdleConnections(VecDeque::new())
+        IdleConnections { connections: VecDeque::new(), waited: Duration::ZERO }
     }
 }
 
 impl<C> IdleConnections<C> {
     /// Adds a connection whose response has just ended.
     pub fn put(&mut self, now: Instant, connection: C) {
-        self.0.push_back(Idle { since: now, connection });
+        self.connections.push_back(Idle { since: now, connection });
     }
 
     /// Adds a connection that is not to be reused and only listens for a while.
     pub fn put_to_listen(&mut self, now: Instant, connection: C) {
         self.put(now, connection);
-        while self.0.len() > LISTENING_CONNECTIONS {
-            self.0.pop_front();
+        while self.connections.len() > LISTENING_CONNECTIONS {
+            self.connections.pop_front();
         }
     }
 
-    /// Removes a connection that has rested for at least `rest` and whose idle time is `fit`: the most recently used one
-    /// that has rested fully, otherwise the one that has rested longest.
+    /// Removes a connection whose idle time is `fit` and that has rested for `rest`, or will have within
+    /// [`MAX_REST_WAIT`]: the most recently used one that has rested fully, otherwise the one that has rested longest.
+    /// `None`: there is none, or the waits for connections have added up to [`MAX_TOTAL_WAIT`].
     pub fn take(
         &mut self,
         now: Instant,
@@ -59,36 +71,48 @@
     ) -> Option<Reused<C>> {
         let time_since = |idle: &Idle<C>| now.saturating_duration_since(idle.since);
         let is_usable = |idle: &Idle<C>, rest: Duration| time_since(idle) >= rest && fit(time_since(idle));
-        let fully_rested = self.0.iter().rposition(|idle| is_usable(idle, rest.max(FULL_REST)));
-        let index = fully_rested.or_else(|| self.0.iter().position(|idle| is_usable(idle, rest)))?;
-        let idle_time = time_since(&self.0[index]);
-        self.0.remove(index).map(|taken| Reused { connection: taken.connection, idle_time })
+        let fully_rested = self.connections.iter().rposition(|idle| is_usable(idle, rest.max(FULL_REST)));
+        let soon_rested = rest.saturating_sub(MAX_REST_WAIT);
+        let index =
+            fully_rested.or_else(|| self.connections.iter().position(|idle| is_usable(idle, soon_rested)))?;
+        let idle_time = time_since(&self.connections[index]);
+        let rest_left = rest.saturating_sub(idle_time);
+        self.waited += rest_left;
+        if self.waited > MAX_TOTAL_WAIT {
+            self.waited = Duration::ZERO;
+            return None;
+        }
+        self.connections.remove(index).map(|taken| Reused {
+            connection: taken.connection,
+            idle_time,
+            rest_left,
+        })
     }
 
     /// Removes and returns the connection that has been idle longest.
     pub fn take_oldest(&mut self) -> Option<C> {
-        self.0.pop_front().map(|oldest| oldest.connection)
+        self.connections.pop_front().map(|oldest| oldest.connection)
     }
 
     /// When the connection that has been idle longest became idle.
     pub fn oldest_since(&self) -> Option<Instant> {
-        self.0.front().map(|oldest| oldest.since)
+        self.connections.front().map(|oldest| oldest.since)
     }
 
     /// Closes connections that have been idle for `max_idle` or are no longer `usable`.
     pub fn retain(&mut self, now: Instant, max_idle: Duration, usable: impl Fn(&C) -> bool) {
-        self.0
+        self.connections
             .retain(|idle| now.saturating_duration_since(idle.since) < max_idle && usable(&idle.connection));
     }
 
     /// Closes all connections.
     pub fn clear(&mut self) {
-        self.0.clear();
+        self.connections.clear();
     }
 
     /// The number of connections.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.connections.len()
     }
 }
 
--- a/proxy/src/http/transport.rs
+++ b/proxy/src/http/transport.rs
@@ -17,7 +17,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// Share of the time for which hosts keep an idle connection, after which it is no longer used.
 const IDLE_FRACTION: f64 = 0.9;
@@ -112,7 +112,11 @@
         forward: Rc<Forward>,
         meter: WriteMeter,
     ) -> Exchanged {
-        if let Some(Reused { connection, idle_time }) = reused {
+        if let Some(Reused { connection, idle_time, rest_left }) = reused {
+            // A timer that is due at once would still take up to a millisecond.
+            if !rest_left.is_zero() {
+                sleep(rest_left).await;
+            }
             let done = exchange(connection, forward.request(target.deadline), &meter).await;
             let broken = done.as_ref().is_none_or(|done| done.outcome == Outcome::Reset);
             let mut pools = self.0.borrow_mut();
