--- a/review/rig2.rs
+++ b/review/rig2.rs
@@ -498,7 +498,7 @@
         let tenants: Vec<String> = self.tenants.iter().map(tenant).collect();
         format!(
             "{{\"balancers\":{},\"me\":{me},\"discovery\":\"push\",\"tick_us\":5000,\"classes\":[{}],\"tenants\":[{}],\
-             \"azs\":[\"palermo\",\"catania\"],\"locality\":\"palermo\",\"charges\":{{\"cross_zone\":0.07}},\
+             \"azs\":[\"palermo\",\"catania\",\"milano\"],\"locality\":\"palermo\",\"charges\":{{\"cross_zone\":0.07}},\
              \"limits\":{{\"cancel\":true,\"probes\":false,\"second_copies\":{},\"max_attempts\":5,\"max_retry_after_us\":{},\
              \"retry_after\":true,\"connect_timeout_us\":250000,\"conn_idle_us\":5000000,\"max_streams\":1}},\
              \"invariants\":{{\"cold_from\":0.12,\"cold_us\":{},\"ask_every_us\":10000000,\"fall_multiple\":2.5,\"drain_grace_us\":2500000,\"tip_after_us\":1500000,\"answer_slack_us\":20000}},\
