Review: programs that are run alone keep their record in target

Cause: without a case's script the record went into the folder that the program was started in.

Change: it goes beside the programs where nothing else is said.

--- a/review/rig2.rs
+++ b/review/rig2.rs
@@ -80,7 +80,7 @@
     lines.sort_by_key(|(at, _)| *at);
     let text: String =
         lines.iter().map(|(at, text)| format!("{:4}.{:03} {text}\n", at / 1000, at % 1000)).collect();
-    let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
+    let path = std::env::var("RECORD").unwrap_or_else(|_| "target/review-2/record.txt".into());
     let _ = fs::write(path, text);
     println!("{verdict}");
     if let Some(folder) = FOLDER.get() {
