--- a/discovery/src/json_stream.rs
+++ b/discovery/src/json_stream.rs
@@ -7,12 +7,14 @@
 use crate::error::ListError;
 use flaxhead_engine::EndpointList;
 
-/// Maximum size of a list, to bound the memory that a faulty discovery server can use.
-const MAX_LIST_BYTES: usize = 4 << 20;
+/// Buffer that is kept between two lists.
+const KEPT_BUFFER_BYTES: usize = 16 << 10;
 
 /// Parser state, with the bytes received of the current JSON object.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct JsonStream {
+    /// Maximum size of a list.
+    max_list_bytes: usize,
     buffer: Vec<u8>,
     /// Number of objects and arrays that are open at the current position.
     depth: usize,
@@ -23,6 +25,11 @@
 }
 
 impl JsonStream {
+    /// Creates a parser of lists of at most this size.
+    pub(crate) fn new(max_list_bytes: usize) -> JsonStream {
+        JsonStream { max_list_bytes, buffer: Vec::new(), depth: 0, string_escape: None, line_is_blank: false }
+    }
+
     /// Parses the next bytes of the list stream, and passes each list that they complete to the handler.
     pub(crate) fn feed(
         &mut self,
@@ -33,13 +40,14 @@
             if self.depth == 0 && byte.is_ascii_whitespace() {
                 continue;
             }
-            if self.buffer.len() >= MAX_LIST_BYTES {
-                return Err(ListError::TooLong(MAX_LIST_BYTES));
+            if self.buffer.len() >= self.max_list_bytes {
+                return Err(ListError::TooLong(self.max_list_bytes));
             }
             self.buffer.push(byte);
             if self.advance(byte)? {
                 let list = serde_json::from_slice(&self.buffer)?;
                 self.buffer.clear();
+                self.buffer.shrink_to(KEPT_BUFFER_BYTES);
                 handler(list);
             }
         }
--- a/discovery/src/json_stream/tests.rs
+++ b/discovery/src/json_stream/tests.rs
@@ -1,7 +1,8 @@
 use super::*;
+use crate::DEFAULT_MAX_LIST_BYTES;
 
 fn feed_pieces(pieces: &[&str]) -> (Vec<u64>, Result<(), ListError>) {
-    let (mut stream, mut versions) = (JsonStream::default(), Vec::new());
+    let (mut stream, mut versions) = (JsonStream::new(DEFAULT_MAX_LIST_BYTES), Vec::new());
     let result =
         pieces.iter().try_for_each(|piece| stream.feed(piece.as_bytes(), |list| versions.push(list.seq)));
     (versions, result)
@@ -28,6 +29,6 @@
         let (versions, result) = feed_pieces(&[&good, bad, "\n"]);
         assert!(result.is_err() && versions == [1], "{bad:?}: {versions:?}");
     }
-    let too_long = format!("{{\"seq\":[{}", "1,".repeat(MAX_LIST_BYTES));
+    let too_long = format!("{{\"seq\":[{}", "1,".repeat(DEFAULT_MAX_LIST_BYTES));
     assert!(matches!(feed_pieces(&[&too_long]).1, Err(ListError::TooLong(_))));
 }
--- a/discovery/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -24,6 +24,9 @@
 use poll_backoff::PollBackoff;
 use std::net::SocketAddr;
 
+/// Maximum size of a list, unless the caller sets another.
+const DEFAULT_MAX_LIST_BYTES: usize = 4 << 20;
+
 /// Place of the discovery server, which determines the handling of failures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Deployment {
@@ -39,6 +42,7 @@
     address: SocketAddr,
     deployment: Deployment,
     seed: u64,
+    max_list_bytes: usize,
 }
 
 impl Discovery {
@@ -46,20 +50,35 @@
     /// the caller decides when to start the next one. `seed` must differ between proxies, to spread the polls
     /// of those whose list streams become idle at the same time.
     pub fn shared(address: SocketAddr, seed: u64) -> Discovery {
-        Discovery { address, deployment: Deployment::Shared, seed }
+        Discovery { address, deployment: Deployment::Shared, seed, max_list_bytes: DEFAULT_MAX_LIST_BYTES }
     }
 
     /// Creates a client of an agent on the proxy's own machine. A watch polls again after any failure until
     /// it is dropped. `seed` must differ between proxies.
     pub fn local_agent(address: SocketAddr, seed: u64) -> Discovery {
-        Discovery { address, deployment: Deployment::LocalAgent, seed }
+        Discovery {
+            address,
+            deployment: Deployment::LocalAgent,
+            seed,
+            max_list_bytes: DEFAULT_MAX_LIST_BYTES,
+        }
+    }
+}
+
+impl Discovery {
+    /// Limits the size of a list, to bound the memory that a faulty discovery server can use.
+    #[must_use]
+    pub fn with_max_list_bytes(self, max_list_bytes: usize) -> Discovery {
+        Discovery { max_list_bytes, ..self }
     }
 }
 
 impl ListSource for Discovery {
     fn watch(&self, since: Option<u64>, mut handler: ListHandler) -> WatchFuture {
-        let Discovery { address, deployment, seed } = *self;
+        let Discovery { address, deployment, seed, max_list_bytes } = *self;
         let backoff = PollBackoff::new(deployment, seed);
-        Box::pin(async move { watch::watch(address, backoff, since, &mut handler).await.into() })
+        Box::pin(
+            async move { watch::watch(address, max_list_bytes, backoff, since, &mut handler).await.into() },
+        )
     }
 }
--- a/discovery/src/poll_set.rs
+++ b/discovery/src/poll_set.rs
@@ -20,6 +20,9 @@
 /// Maximum number of polls in parallel; a further poll replaces the oldest.
 const MAX_PENDING_POLLS: usize = 3;
 
+/// Maximum size of the read buffer of a poll's connection.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// List stream of the first poll that succeeded.
 pub(crate) struct PollResponse {
     /// Response body, from which the lists are read.
@@ -68,7 +71,8 @@
 async fn request_list(discovery: SocketAddr, since: Option<u64>) -> Result<PollResponse, WatchError> {
     let stream = TcpStream::connect(discovery).await?;
     stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let builder = http1::Builder::new().max_buf_size(MAX_READ_BUFFER_BYTES).clone();
+    let (mut sender, connection) = builder.handshake(TokioIo::new(stream)).await?;
     let connection = spawn(connection);
     let since = since.map(|seq| format!("&since={seq}")).unwrap_or_default();
     let request = Request::get(format!("/catalog/members?follow=1{since}"))
--- a/discovery/src/watch.rs
+++ b/discovery/src/watch.rs
@@ -15,13 +15,14 @@
 /// for as long as `backoff` gives a delay, then returns the last error.
 pub(crate) async fn watch(
     discovery: SocketAddr,
+    max_list_bytes: usize,
     mut backoff: PollBackoff,
     mut since: Option<u64>,
     handler: &mut dyn FnMut(EndpointList),
 ) -> WatchError {
     let mut polls = PollSet::new(discovery);
     loop {
-        let Err(error) = receive_lists(&mut polls, &mut backoff, &mut since, handler).await;
+        let Err(error) = receive_lists(&mut polls, max_list_bytes, &mut backoff, &mut since, handler).await;
         let Some(delay) = backoff.next_delay(&error) else { return error };
         if backoff.should_log() {
             tracing::info!("discovery: {error}");
@@ -34,6 +35,7 @@
 /// `since` to the version of each list.
 async fn receive_lists(
     polls: &mut PollSet,
+    max_list_bytes: usize,
     backoff: &mut PollBackoff,
     since: &mut Option<u64>,
     handler: &mut dyn FnMut(EndpointList),
@@ -41,7 +43,7 @@
     let response_timeout = backoff.response_timeout();
     let idle_timeout = backoff.idle_timeout();
     let PollResponse { mut body, _connection } = polls.poll(*since, response_timeout).await?;
-    let mut stream = JsonStream::default();
+    let mut stream = JsonStream::new(max_list_bytes);
     loop {
         let frame = timeout(idle_timeout, body.frame()).await;
         let frame = frame.map_err(|_| WatchError::IdleTimeout(idle_timeout))?;
--- a/proxy/src/config/mod.rs
+++ b/proxy/src/config/mod.rs
@@ -4,6 +4,7 @@
 
 pub use check::Unworkable;
 
+use crate::memory::MemoryPlan;
 use flaxhead_engine::EndpointList;
 use flaxhead_policy::Settings;
 use flaxhead_settings::SettingsError;
@@ -19,6 +20,9 @@
 /// and some to spare.
 const SPARE_DESCRIPTORS: usize = 32;
 
+/// The unit of the memory limit.
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// Why a configuration cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Problem {
@@ -68,6 +72,8 @@
     pub seed: u64,
     /// Most file descriptors that the process may hold.
     pub sockets: usize,
+    /// Most bytes of memory that the process may use.
+    pub memory_bytes: usize,
     /// The hosts as this proxy last had them; maybe old.
     pub known: Option<EndpointList>,
     /// What the decision module is told.
@@ -82,6 +88,8 @@
     pub conn_idle: Duration,
     /// Descriptors that the features in use need.
     pub side_descriptors: usize,
+    /// Memory that the features in use take at the start.
+    pub feature_bytes: usize,
 }
 
 #[derive(Deserialize)]
@@ -102,11 +110,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024 }
+        Limits { sockets: 1_024, memory_mb: 192 }
     }
 }
 
@@ -160,6 +169,7 @@
             discovery: file.discovery,
             seed,
             sockets: file.limits.sockets,
+            memory_bytes: file.limits.memory_mb.saturating_mul(BYTES_PER_MB),
             known: file.known,
             settings,
             classes,
@@ -167,6 +177,7 @@
             connect_timeout: Duration::from_micros(site.connect_timeout_us),
             conn_idle: Duration::from_micros(site.conn_idle_us),
             side_descriptors: 0,
+            feature_bytes: 0,
         };
         config.check()?;
         Ok(config)
@@ -180,6 +191,12 @@
 
     /// Most connections to clients, and as many to hosts.
     pub fn connections_each_way(&self) -> usize {
-        (self.sockets - SPARE_DESCRIPTORS - self.side_descriptors) / 2
+        let by_descriptors = (self.sockets - SPARE_DESCRIPTORS - self.side_descriptors) / 2;
+        by_descriptors.min(self.memory_plan().connections_each_way)
+    }
+
+    /// How the memory limit is divided.
+    pub fn memory_plan(&self) -> MemoryPlan {
+        MemoryPlan::new(self.memory_bytes, self.feature_bytes)
     }
 }
--- a/proxy/src/enabled_features.rs
+++ b/proxy/src/enabled_features.rs
@@ -143,6 +143,7 @@
         };
         // Before the quotas are opened: their queues are bounded by the connections that are left.
         config.side_descriptors = enabled.descriptors();
+        config.feature_bytes = features.capture.as_ref().map_or(0, capture::Settings::memory_bytes);
         let quota = features.quota.map(|settings| {
             let store = enabled.snapshot.as_ref();
             let store = store.map(|store| store.application(QUOTA_PART, recovered.as_mut()));
--- a/proxy/src/features/access.rs
+++ b/proxy/src/features/access.rs
@@ -2,11 +2,11 @@
 //! may come. What is allowed the module's crate says ([`flaxhead_policy::Access`]).
 
 use super::sections::{Problem, Section};
+use crate::http::front::PrefixedStream;
 use flaxhead_policy::{Access, PeerAccess};
 use ppp::{v1, v2};
-use std::io::Cursor;
 use std::net::IpAddr;
-use tokio::io::{join, AsyncRead, AsyncReadExt, AsyncWrite};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 /// What the headers begin with.
@@ -29,11 +29,11 @@
 
 /// A connection that may come: its client's true address, and its stream from the first byte of its first
 /// request on.
-pub struct Admitted<S> {
+pub struct Admitted {
     /// Where the client is.
     pub client: IpAddr,
     /// What it sends.
-    pub stream: S,
+    pub stream: PrefixedStream,
 }
 
 /// Why a connection is closed.
@@ -65,7 +65,7 @@
     access: &Access,
     mut stream: TcpStream,
     peer: IpAddr,
-) -> Result<Admitted<impl AsyncRead + AsyncWrite + Unpin>, (IpAddr, Closed)> {
+) -> Result<Admitted, (IpAddr, Closed)> {
     let front = access.check_peer(peer) == PeerAccess::TrustedProxy;
     let mut bytes = Vec::new();
     let (client, header) = loop {
@@ -94,8 +94,7 @@
         }
     };
     bytes.drain(..header);
-    let (rest, write) = stream.into_split();
-    Ok(Admitted { client, stream: join(Cursor::new(bytes).chain(rest), write) })
+    Ok(Admitted { client, stream: PrefixedStream::new(bytes, stream) })
 }
 
 /// What a connection's first bytes are.
--- a/proxy/src/features/capture/mod.rs
+++ b/proxy/src/features/capture/mod.rs
@@ -47,4 +47,9 @@
         }
         Ok(Settings { files, file_bytes: file_kb << 10, dir })
     }
+
+    /// What the ring takes, and the file that a dump has in hand.
+    pub fn memory_bytes(&self) -> usize {
+        (self.files + 1) * self.file_bytes
+    }
 }
--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -1,13 +1,16 @@
 //! Connections to hosts, and one exchange on one of them.
 
+use super::client_probe::ClientProbe;
 use super::stream::{ConnectionState, HostStream};
 use super::surplus::HostSurplus;
+use crate::memory::{collect, compact_headers, CollectError, MemoryPool, Reserve};
 use flaxhead_engine::{spawn, BoxError, Task, WriteMeter};
 use flaxhead_policy::{LoadReport, Outcome};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use std::io;
 use std::net::SocketAddr;
@@ -46,9 +49,10 @@
         limit: Duration,
         slot: Rc<()>,
         surplus: HostSurplus,
+        pool: &MemoryPool,
     ) -> Result<Connection, BoxError> {
         let stream = timeout(limit, dial(address)).await??;
-        let state = Rc::new(ConnectionState::new(surplus));
+        let state = Rc::new(ConnectionState::new(surplus, pool));
         let io = HostStream::new(stream, state.clone());
         let (sender, connection) = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(io).await?;
         Ok(Connection { sender, state, _task: spawn(connection), _slot: slot })
@@ -86,13 +90,16 @@
     mut connection: Connection,
     request: Request<Full<Bytes>>,
     meter: &WriteMeter,
+    client: Rc<dyn ClientProbe>,
+    pool: &MemoryPool,
 ) -> Option<Exchanged> {
-    connection.state.begin(meter);
+    connection.state.begin(meter, client);
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) if meter.bytes_written() == 0 => return None,
         Err(error) => return Some(Exchanged::without_response(outcome_of_error(&error))),
     };
+    connection.state.end_head();
     let (head, body) = response.into_parts();
     let load = head
         .headers
@@ -100,27 +107,49 @@
         .and_then(|report| report.to_str().ok())
         .map(flaxhead_settings::parse_load_report)
         .unwrap_or_default();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let (outcome, response, whole) = if head.status == StatusCode::OK {
-        match body.await {
-            Ok(body) => (Outcome::Served, Some(Response::from_parts(head, body.to_bytes())), true),
+        match read_response(head, body, pool).await {
+            Ok(response) => (Outcome::Served, Some(response), true),
             // It has run, and what it said is lost.
-            Err(error) => match error.downcast_ref::<hyper::Error>() {
-                Some(error) => (outcome_of_error(error), None, false),
-                None => (Outcome::Unknown, None, false),
-            },
+            Err(CollectError::Broken(error)) => (outcome_of_error(&error), None, false),
+            Err(_) => (Outcome::Unknown, None, false),
         }
     } else {
         // The outcome is known: a rest that breaks or stalls must not change it.
-        let whole = matches!(timeout(DRAIN_TIMEOUT, body).await, Ok(Ok(_)));
+        let whole = matches!(timeout(DRAIN_TIMEOUT, drain(body)).await, Ok(true));
         (outcome_of_status(head.status, &head.headers), None, whole)
     };
     // Ready again before the outcome is told: else the next request would find no idle connection.
-    let again = whole && matches!(timeout(DRAIN_TIMEOUT, connection.sender.ready()).await, Ok(Ok(())));
+    // A buffer that has grown stays as it is while the connection lasts.
+    let reusable = whole && (!connection.state.has_grown() || pool.has_spare());
+    let again = reusable && matches!(timeout(DRAIN_TIMEOUT, connection.sender.ready()).await, Ok(Ok(())));
     connection.state.end();
     Some(Exchanged { outcome, load, response, connection: again.then_some(connection) })
 }
 
+/// Reads a response whole, into memory that is reserved for it.
+async fn read_response(
+    mut head: Parts,
+    body: Incoming,
+    pool: &MemoryPool,
+) -> Result<Response<Bytes>, CollectError> {
+    head.headers = compact_headers(&head.headers, pool.reservation()).await?;
+    let body = collect(body, MAX_BODY_BYTES, Reserve::Announced, pool.reservation()).await?;
+    Ok(Response::from_parts(head, body))
+}
+
+/// Reads the rest of a body and drops it. Returns whether it has ended within its limit.
+async fn drain(mut body: Incoming) -> bool {
+    let mut left = MAX_BODY_BYTES;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return false };
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        let Some(rest) = left.checked_sub(length) else { return false };
+        left = rest;
+    }
+    true
+}
+
 /// What an exchange proves that broke after writing. An answer that cannot be read is no reset, but the request
 /// may have run as well.
 fn outcome_of_error(error: &hyper::Error) -> Outcome {
--- a/proxy/src/http/front/answer.rs
+++ b/proxy/src/http/front/answer.rs
@@ -7,6 +7,9 @@
 use hyper::{Response, StatusCode};
 use std::time::Duration;
 
+/// When a client whose request was shed may try again.
+const SHED_RETRY_DELAY: Duration = Duration::from_millis(250);
+
 /// An answer to a client.
 pub(super) type Answer = Response<Full<Bytes>>;
 
@@ -25,6 +28,13 @@
     answer
 }
 
+/// A request for which there is no memory. The rest of it is not read.
+pub(super) fn shed() -> Answer {
+    let mut answer = rejected(StatusCode::SERVICE_UNAVAILABLE, SHED_RETRY_DELAY);
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
+
 pub(super) fn plain(status: StatusCode) -> Answer {
     let mut answer = Response::new(Full::default());
     *answer.status_mut() = status;
--- a/proxy/src/http/front/client_stream.rs
+++ b/proxy/src/http/front/client_stream.rs
@@ -1,41 +1,65 @@
-//! Whether a client is still there while its request waits, and what of its bytes has come.
+//! A client's connection: reads it into bounded memory, and notices whether the client is still there while its request
+//! waits.
 //!
 //! The HTTP library reads a connection only as far as it has a use for the bytes. Behind an unanswered request it has
 //! none, so that a client that sent anything more and then closed would go unseen. Here the connection is read ahead,
-//! within a bound, for as long as an answer is owed.
+//! within a bound, for as long as a response is owed.
 
 use super::activity::{Activity, Phase};
+use super::input::Input;
+use super::socket::Socket;
+use crate::http::{ClientProbe, ClientStatus};
+use crate::memory::{MemoryPool, ShedHandle, MAX_READ_BYTES};
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
-use std::mem;
+use std::mem::{self, MaybeUninit};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{sleep, Instant, Sleep};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::time::{sleep, timeout, Instant, Sleep};
 
 /// Most bytes that are read ahead of an open request. Clients send one request at a time: whoever sends more than this
 /// behind an unanswered one is none.
 const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
-/// Bytes that are read at once.
-const READ_BYTES: usize = 4 << 10;
 /// How long a connection that is being closed is still read, and how much: a close over unread bytes would reset it,
 /// and take the answer along that is still on its way.
 const LINGER_TIME: Duration = Duration::from_millis(200);
 const MAX_LINGER_BYTES: usize = 256 << 10;
+/// What a client is told whose request is shed before its head is complete.
+const REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 #[derive(Debug)]
 struct Inner<S> {
     stream: S,
-    /// Bytes that were read ahead, and when the first of them came.
-    ahead: VecDeque<u8>,
-    ahead_since: Instant,
+    /// What was read, and the library does not have yet.
+    input: Input,
     /// What came behind the last byte, if anything has.
     end: Option<End>,
     linger: Option<Linger>,
+    output: Output,
+}
+
+/// What is known of the bytes to the client.
+#[derive(Debug, Default)]
+struct Output {
+    /// All that the library has written is out.
+    flushed: bool,
+    /// The response that is being written.
+    response: Option<ShedHandle>,
+}
+
+impl Output {
+    /// A response that its client does not read may be shed.
+    fn record_write<T>(&mut self, written: &Poll<T>) {
+        self.flushed = false;
+        if let Some(response) = &self.response {
+            response.set_sheddable(written.is_pending());
+        }
+    }
 }
 
 /// How the client's side of a connection ended.
@@ -73,11 +97,12 @@
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> ClientStream<S> {
-    /// Wraps a connection.
-    pub fn new(stream: S, activity: Rc<Activity>) -> ClientStream<S> {
-        let ahead_since = Instant::now();
-        let inner = Inner { stream, ahead: VecDeque::new(), ahead_since, end: None, linger: None };
+impl<S: Socket> ClientStream<S> {
+    /// Wraps a connection, which reads into this pool.
+    pub fn new(stream: S, activity: Rc<Activity>, pool: &MemoryPool) -> ClientStream<S> {
+        let input = Input::new(pool.clone());
+        let output = Output { flushed: true, response: None };
+        let inner = Inner { stream, input, end: None, linger: None, output };
         ClientStream { inner: Rc::new(RefCell::new(inner)), activity }
     }
 
@@ -86,45 +111,142 @@
         self.inner.borrow_mut().poll_ahead(context)
     }
 
-    /// Whether bytes were read ahead that nobody has taken yet.
+    /// Whether bytes were read that the library would take.
     pub fn has_read_ahead(&self) -> bool {
-        !self.inner.borrow().ahead.is_empty()
+        self.inner.borrow().input.is_ready()
     }
 
     /// Whether nothing of a further request is here: neither in hand nor waiting to be read.
     pub fn is_quiet(&self, context: &mut Context<'_>) -> bool {
         let mut inner = self.inner.borrow_mut();
         let quiet = matches!(self.activity.phase(), Phase::New | Phase::Idle);
-        quiet && inner.poll_ahead(context).is_pending() && inner.ahead.is_empty()
+        quiet && inner.poll_ahead(context).is_pending() && inner.input.is_empty()
+    }
+
+    /// The library has a request's head.
+    pub fn end_head(&self) {
+        self.inner.borrow_mut().input.end_head();
+    }
+
+    /// A request has its response, with a handle to the memory that the response takes.
+    pub fn end_request(&self, response: Option<ShedHandle>) {
+        let mut inner = self.inner.borrow_mut();
+        inner.input.begin_head();
+        inner.output.response = response;
+    }
+
+    /// Whether the connection holds memory that others need, so that it is not to be kept open.
+    pub fn holds_needed_memory(&self) -> bool {
+        self.inner.borrow().input.holds_needed_memory()
+    }
+
+    /// Ready once the connection is to be shed.
+    pub fn poll_shed(&self, context: &mut Context<'_>) -> Poll<()> {
+        let inner = self.inner.borrow();
+        let response = inner.output.response.as_ref();
+        if response.is_some_and(|response| response.poll_shed(context).is_ready()) {
+            return Poll::Ready(());
+        }
+        inner.input.poll_shed(context)
+    }
+
+    /// Refuses a request that has not come whole, and closes the connection.
+    pub async fn refuse(mut self) {
+        // The library, with its buffer, is gone.
+        self.inner.borrow_mut().input.clear();
+        let refusing = async {
+            // Within a response it would be taken for a part of it.
+            if self.inner.borrow().output.flushed {
+                self.write_all(REFUSAL).await?;
+            }
+            self.shutdown().await
+        };
+        // Whoever does not read it gets the close alone.
+        let _ = timeout(LINGER_TIME * 2, refusing).await;
+    }
+}
+
+impl<S: Socket> ClientProbe for ClientStream<S> {
+    fn status(&self) -> ClientStatus {
+        // The connection is in use only by those that would notice its end themselves.
+        let Ok(inner) = self.inner.try_borrow() else { return ClientStatus::Connected };
+        match inner.end {
+            Some(_) => ClientStatus::Left,
+            None => inner.stream.status(),
+        }
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> Inner<S> {
-    /// Reads ahead all that is there; done at the connection's end, or past the bound.
+impl<S: Socket> Inner<S> {
+    /// Reads ahead all that is there, as far as there is memory; done at the connection's end, or past the bound.
     fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        while self.end.is_none() && self.ahead.len() < MAX_READ_AHEAD_BYTES {
-            let mut piece = [0; READ_BYTES];
-            let mut buffer = ReadBuf::new(&mut piece);
-            match ready!(Pin::new(&mut self.stream).poll_read(context, &mut buffer)) {
-                Ok(()) if buffer.filled().is_empty() => self.end = Some(End::Closed),
-                Ok(()) => {
-                    if self.ahead.is_empty() {
-                        self.ahead_since = Instant::now();
-                    }
-                    self.ahead.extend(buffer.filled());
-                }
-                Err(error) => self.end = Some(End::Broken(error)),
+        while self.end.is_none() && self.input.len() < MAX_READ_AHEAD_BYTES {
+            // Without it the client's close is noticed before an attempt begins.
+            if !self.input.try_room_ahead() {
+                return Poll::Pending;
+            }
+            let read = self.poll_piece(context, MAX_READ_BYTES, |input, bytes| input.add(bytes));
+            if read.is_pending() {
+                self.input.release_surplus();
+                return Poll::Pending;
             }
         }
         Poll::Ready(())
     }
 
+    /// Reads a piece of at most so many bytes, or the connection's end.
+    fn poll_piece(
+        &mut self,
+        context: &mut Context<'_>,
+        most: usize,
+        take: impl FnOnce(&mut Input, &[u8]),
+    ) -> Poll<()> {
+        let mut piece = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let mut piece = ReadBuf::uninit(&mut piece[..most.min(MAX_READ_BYTES)]);
+        match ready!(Pin::new(&mut self.stream).poll_read(context, &mut piece)) {
+            Ok(()) if piece.filled().is_empty() => self.end = Some(End::Closed),
+            Ok(()) => take(&mut self.input, piece.filled()),
+            Err(error) => self.end = Some(End::Broken(error)),
+        }
+        Poll::Ready(())
+    }
+
+    /// Reads until something can be passed on, and passes it on.
+    fn poll_input(&mut self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        while self.end.is_none() && !self.input.is_ready() {
+            ready!(self.input.poll_room(context));
+            let mut is_passed = false;
+            let read = self.poll_piece(context, buffer.remaining(), |input, bytes| {
+                let bytes = input.without_empty_lines(bytes);
+                is_passed = !bytes.is_empty() && input.is_passed_at_once(bytes);
+                if is_passed {
+                    buffer.put_slice(bytes);
+                    input.record_passed(bytes);
+                } else if !bytes.is_empty() {
+                    input.add(bytes);
+                }
+            });
+            if is_passed || read.is_pending() {
+                self.input.release_surplus();
+                return read.map(Ok);
+            }
+        }
+        if !self.input.is_empty() {
+            self.input.pass(buffer.remaining(), |bytes| buffer.put_slice(bytes));
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(match self.end.as_mut().map(|end| mem::replace(end, End::Closed)) {
+            Some(End::Broken(error)) => Err(error),
+            Some(End::Closed) | None => Ok(()),
+        })
+    }
+
     /// Reads and drops what still comes, for a while.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Inner { stream, linger, .. } = self;
         let linger = linger.get_or_insert_with(Linger::begin);
         while linger.bytes_left > 0 && linger.until.as_mut().poll(context).is_pending() {
-            let mut piece = [0; READ_BYTES];
+            let mut piece = [0; MAX_READ_BYTES];
             let mut buffer = ReadBuf::new(&mut piece);
             match ready!(Pin::new(&mut *stream).poll_read(context, &mut buffer)) {
                 Ok(()) if !buffer.filled().is_empty() => {
@@ -137,43 +259,40 @@
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> AsyncRead for ClientStream<S> {
+impl<S: Socket> AsyncRead for ClientStream<S> {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let inner = &mut *self.inner.borrow_mut();
-        if !inner.ahead.is_empty() {
-            let (first, _) = inner.ahead.as_slices();
-            let count = first.len().min(buffer.remaining());
-            buffer.put_slice(&first[..count]);
-            inner.ahead.drain(..count);
-            self.activity.record_received(inner.ahead_since);
-            return Poll::Ready(Ok(()));
-        }
-        if let Some(end) = &mut inner.end {
-            return Poll::Ready(match mem::replace(end, End::Closed) {
-                End::Closed => Ok(()),
-                End::Broken(error) => Err(error),
-            });
-        }
+        let was_gathered = !inner.input.is_empty();
+        let since = inner.input.since();
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut inner.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > before {
-            self.activity.record_received(Instant::now());
+        let read = inner.poll_input(context, buffer);
+        let came_at = if was_gathered { since } else { Instant::now() };
+        if buffer.filled().len() > before || !inner.input.is_empty() {
+            self.activity.record_received(came_at);
         }
-        Poll::Ready(Ok(()))
+        read
     }
 }
 
-impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for ClientStream<S> {
+impl<S: Socket> AsyncWrite for ClientStream<S> {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner.borrow_mut().stream).poll_write(context, bytes)
+        let inner = &mut *self.inner.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write(context, bytes);
+        inner.output.record_write(&written);
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner.borrow_mut().stream).poll_flush(context)
+        let inner = &mut *self.inner.borrow_mut();
+        let flushed = Pin::new(&mut inner.stream).poll_flush(context);
+        if flushed.is_ready() {
+            inner.output.flushed = true;
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -194,6 +313,9 @@
         context: &mut Context<'_>,
         pieces: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner.borrow_mut().stream).poll_write_vectored(context, pieces)
+        let inner = &mut *self.inner.borrow_mut();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(context, pieces);
+        inner.output.record_write(&written);
+        written
     }
 }
--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -1,15 +1,18 @@
 //! One client's connection, from its first byte to its end.
 
 use super::activity::{Activity, Phase};
-use super::answer::{plain, rejected, served, Answer};
+use super::answer::{plain, rejected, served, shed, Answer};
 use super::client_stream::ClientStream;
 use super::request::read_request;
+use super::socket::Socket;
 use super::Driver;
 use crate::features::access::{self, Admitted};
 use crate::http::exchange::MAX_HEAD_BYTES;
 use crate::http::{code, Reply};
+use crate::memory::ShedHandle;
 use flaxhead_policy::Access;
 use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, Service};
 use hyper::{Method, Request, StatusCode};
@@ -21,7 +24,6 @@
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{timeout_at, Instant};
@@ -40,6 +42,15 @@
     Answered,
 }
 
+/// How a client's connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// It is closed, or is to be.
+    Closed,
+    /// Its memory is needed by others: what has come of a request is to be refused.
+    Shed,
+}
+
 /// A client's connection as the HTTP library serves it.
 type Connection<'a, S, A> = Pin<&'a mut http1::Connection<TokioIo<ClientStream<S>>, A>>;
 
@@ -68,24 +79,39 @@
     }
 
     /// Answers what comes on a connection, until it ends.
-    pub(super) async fn serve(self, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
-        let stream = ClientStream::new(stream, self.activity.clone());
-        let service = service_fn(|request| async { Ok::<_, Infallible>(self.respond(request).await) });
+    pub(super) async fn serve(self, stream: impl Socket) {
+        let stream = ClientStream::new(stream, self.activity.clone(), &self.driver.memory.requests);
+        // What the library holds of the connection is gone before a refusal is written.
+        if self.serve_requests(&stream).await == ConnectionEnd::Shed {
+            self.activity.enter(Phase::Closing);
+            stream.refuse().await;
+        }
+    }
+
+    async fn serve_requests<S: Socket>(&self, stream: &ClientStream<S>) -> ConnectionEnd {
+        let service =
+            service_fn(|request| async { Ok::<_, Infallible>(self.respond(request, stream).await) });
         let connection = pin!(http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream.clone()), service));
         let mut ended = pin!(self.until_ended(connection, stream));
-        if timeout_at(self.first_due, &mut ended).await.is_err() && self.activity.has_had_request() {
-            ended.await;
+        match timeout_at(self.first_due, &mut ended).await {
+            Ok(end) => end,
+            Err(_) if self.activity.has_had_request() => ended.await,
+            Err(_) => ConnectionEnd::Closed,
         }
     }
 
     /// Drives a connection until it ends, or its client goes while an answer is owed.
-    async fn until_ended<S, A>(&self, mut connection: Connection<'_, S, A>, stream: ClientStream<S>)
+    async fn until_ended<S, A>(
+        &self,
+        mut connection: Connection<'_, S, A>,
+        stream: &ClientStream<S>,
+    ) -> ConnectionEnd
     where
-        S: AsyncRead + AsyncWrite + Unpin + 'static,
+        S: Socket,
         A: Service<Request<Incoming>, Response = Answer, Error = Infallible>,
     {
         let mut stage = self.stage.clone();
@@ -105,34 +131,40 @@
                     ends_soon = true;
                 }
                 if connection.as_mut().poll(context).is_ready() {
-                    return Poll::Ready(());
+                    return Poll::Ready(ConnectionEnd::Closed);
                 }
                 if waits() || !stream.has_read_ahead() && (ends_soon || !stops) {
                     break;
                 }
             }
             // A connection that ends here ends its request's waiting, which tells the module.
-            match waits() {
-                true => stream.poll_disconnected(context),
-                false => Poll::Pending,
+            if waits() && stream.poll_disconnected(context).is_ready() {
+                return Poll::Ready(ConnectionEnd::Closed);
             }
+            stream.poll_shed(context).map(|()| ConnectionEnd::Shed)
         });
-        ended.await;
+        ended.await
     }
 
     /// Answers a request, and notes what the connection does meanwhile.
-    async fn respond(&self, request: Request<Incoming>) -> Answer {
+    async fn respond<S: Socket>(&self, request: Request<Incoming>, stream: &ClientStream<S>) -> Answer {
         self.activity.enter(Phase::Reading);
-        let answer = self.answer(request).await;
+        stream.end_head();
+        let mut answer = self.answer(request, stream).await;
+        if stream.holds_needed_memory() {
+            answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        stream.end_request(answer.extensions_mut().remove::<ShedHandle>());
         self.activity.enter(Phase::Idle);
         answer
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Answer {
+    async fn answer<S: Socket>(&self, request: Request<Incoming>, stream: &ClientStream<S>) -> Answer {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/_health") => self.health(),
             (_, "/_health") => plain(StatusCode::METHOD_NOT_ALLOWED),
-            (_, "/api") => self.call(request).await,
+            // Boxed: a connection without a request does not have it.
+            (_, "/api") => Box::pin(self.call(request, stream)).await,
             _ => plain(StatusCode::NOT_FOUND),
         }
     }
@@ -146,10 +178,12 @@
     }
 
     /// Hands a call to the engine, and tells its client what became of it.
-    async fn call(&self, request: Request<Incoming>) -> Answer {
+    async fn call<S: Socket>(&self, request: Request<Incoming>, stream: &ClientStream<S>) -> Answer {
         let arrived = self.activity.received();
-        let (ask, forward) = match read_request(&self.driver, request, arrived).await {
+        let (ask, forward) = match read_request(&self.driver, request, arrived, Rc::new(stream.clone())).await
+        {
             Ok(taken) => taken,
+            Err(StatusCode::SERVICE_UNAVAILABLE) => return shed(),
             Err(status) => return plain(status),
         };
         self.activity.record_request();
--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -5,11 +5,16 @@
 mod client_stream;
 mod clients;
 mod connection;
+mod input;
 mod request;
+mod socket;
 
 use super::Engine;
 use crate::config::Config;
 use crate::features::quota::AdmissionQueues;
+use crate::memory::Memory;
+pub use socket::PrefixedStream;
+
 use clients::{Clients, ACCEPT_RETRY_DELAY};
 use connection::ShutdownStage;
 use flaxhead_policy::Access;
@@ -46,6 +51,8 @@
     pub config: Rc<Config>,
     /// Where calls wait for their tenant's units, if tenants share any.
     pub queues: Option<AdmissionQueues>,
+    /// Where requests are held.
+    pub memory: Memory,
 }
 
 /// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
--- a/proxy/src/http/front/request.rs
+++ b/proxy/src/http/front/request.rs
@@ -3,13 +3,15 @@
 use super::Driver;
 use crate::config::Config;
 use crate::http::exchange::MAX_BODY_BYTES;
-use crate::http::Forward;
+use crate::http::{ClientProbe, Forward};
+use crate::memory::{collect, compact_request_head, CollectError, Reserve};
 use flaxhead_engine::CallSpec;
 use flaxhead_policy::{ClassId, Idempotency, TenantId};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::http::uri::PathAndQuery;
+use hyper::{Method, Request, StatusCode};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{timeout_at, Instant};
 
@@ -21,23 +23,33 @@
     driver: &Driver,
     request: Request<Incoming>,
     arrived: Instant,
+    client: Rc<dyn ClientProbe>,
 ) -> Result<(CallSpec, Forward), StatusCode> {
     let (head, body) = request.into_parts();
     let (mut ask, budget) =
         call_spec(&driver.config, &head.method, &head.headers).ok_or(StatusCode::BAD_REQUEST)?;
     ask.deadline = arrived + budget.saturating_sub(RESPONSE_MARGIN);
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    let body = match timeout_at(arrived + budget, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
-        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+    let pool = &driver.memory.requests;
+    let reading = async {
+        let target = head.uri.path_and_query().map_or("", PathAndQuery::as_str);
+        let (target, headers) =
+            compact_request_head(target, &end_to_end(head.headers), pool.reservation()).await?;
+        let body = collect(body, MAX_BODY_BYTES, Reserve::AsItComes, pool.reservation()).await?;
+        Ok(Forward { method: head.method, target, headers, body, client })
     };
-    let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
-    let forward = Forward { method: head.method, target, headers: end_to_end(head.headers), body };
-    Ok((ask, forward))
+    match timeout_at(arrived + budget, reading).await {
+        Ok(read) => read.map(|forward| (ask, forward)).map_err(|error| status_of(&error)),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+/// What a client is told whose request could not be read.
+fn status_of(error: &CollectError) -> StatusCode {
+    match error {
+        CollectError::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        CollectError::Shed => StatusCode::SERVICE_UNAVAILABLE,
+        CollectError::Broken(_) => StatusCode::BAD_REQUEST,
+    }
 }
 
 /// What the head says of a request; `None` if its id, class or budget is missing, double or unusable, or its method
--- a/proxy/src/http/mod.rs
+++ b/proxy/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1, both ways: the front that takes the application's requests in, and the transport that carries them to
 //! hosts.
 
+mod client_probe;
 mod exchange;
 pub mod front;
 mod idle;
@@ -9,6 +10,7 @@
 mod surplus;
 mod transport;
 
+pub use client_probe::{ClientProbe, ClientStatus};
 pub use transport::{Forward, Http};
 
 /// The engine as the daemon has it.
--- a/proxy/src/http/stream.rs
+++ b/proxy/src/http/stream.rs
@@ -1,18 +1,21 @@
 //! The stream of a connection to a host: it counts what is written for an attempt, and notices what comes without a
 //! request.
 
+use super::client_probe::ClientProbe;
 use super::surplus::HostSurplus;
+use crate::memory::{HeadProgress, MemoryPool, Reservation, MAX_READ_BYTES};
 use flaxhead_engine::WriteMeter;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use tokio::io::ReadBuf;
+use std::task::{ready, Context, Poll};
+use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -27,23 +30,89 @@
     /// Since when no request is outstanding; `None` while one is.
     idle_since: Cell<Option<Instant>>,
     surplus: HostSurplus,
+    /// Whose attempt it is.
+    client: RefCell<Rc<dyn ClientProbe>>,
+    head: HeadBuffer,
+}
+
+/// What the HTTP library's read buffer takes while it waits for the rest of a response's head.
+#[derive(Debug)]
+struct HeadBuffer {
+    /// What the library has of the head; `None`: all.
+    progress: Cell<Option<HeadProgress>>,
+    reservation: Reservation,
+    /// It has grown, and does not shrink for as long as the connection lasts.
+    has_grown: Cell<bool>,
+}
+
+impl HeadBuffer {
+    fn new(pool: &MemoryPool) -> HeadBuffer {
+        let reservation = pool.reservation();
+        reservation.settle();
+        HeadBuffer { progress: Cell::new(None), reservation, has_grown: Cell::new(false) }
+    }
+
+    /// Reserves what the buffer takes as the library reads on.
+    fn reserve(&self) -> io::Result<()> {
+        let excess = self.progress.get().map_or(0, |progress| progress.excess_buffer_bytes());
+        if excess == 0 {
+            return Ok(());
+        }
+        self.has_grown.set(true);
+        match self.reservation.try_resize(excess) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::OutOfMemory.into()),
+        }
+    }
+
+    fn add(&self, bytes: &[u8]) {
+        if let Some(mut progress) = self.progress.get() {
+            progress.record(bytes);
+            self.progress.set(Some(progress));
+        }
+    }
 }
 
 impl ConnectionState {
     /// The state of a connection that has just been opened to a host.
-    pub fn new(surplus: HostSurplus) -> ConnectionState {
-        let idle_since = Cell::new(Some(Instant::now()));
-        ConnectionState { meter: RefCell::default(), idle_since, surplus }
+    pub fn new(surplus: HostSurplus, pool: &MemoryPool) -> ConnectionState {
+        ConnectionState {
+            meter: RefCell::default(),
+            idle_since: Cell::new(Some(Instant::now())),
+            surplus,
+            client: RefCell::new(Rc::new(())),
+            head: HeadBuffer::new(pool),
+        }
     }
 
-    /// The connection's next bytes are those of an attempt with this meter.
-    pub fn begin(&self, meter: &WriteMeter) {
+    /// The connection's next bytes are those of an attempt with this meter, for this client.
+    pub fn begin(&self, meter: &WriteMeter, client: Rc<dyn ClientProbe>) {
         self.meter.replace(meter.clone());
+        self.client.replace(client);
+        self.head.progress.set(Some(HeadProgress::default()));
+    }
+
+    /// The response's head is complete.
+    pub fn end_head(&self) {
+        self.head.progress.set(None);
+    }
+
+    /// Whether its buffers have grown beyond what an idle connection may keep.
+    pub fn has_grown(&self) -> bool {
+        self.head.has_grown.get()
     }
 
     /// The response is complete: from now on no request is outstanding.
     pub fn end(&self) {
         self.idle_since.set(Some(Instant::now()));
+        // It must not keep the client's connection.
+        self.client.replace(Rc::new(()));
+    }
+}
+
+impl fmt::Debug for dyn ClientProbe {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}", self.status())
     }
 }
 
@@ -84,10 +153,17 @@
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-        buffer: ReadBufCursor<'_>,
+        mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         self.notice_surplus(context);
-        Pin::new(&mut self.io).poll_read(context, buffer)
+        self.state.head.reserve()?;
+        let mut piece = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let length = buffer.remaining().min(MAX_READ_BYTES);
+        let mut piece = ReadBuf::uninit(&mut piece[..length]);
+        ready!(Pin::new(self.io.inner_mut()).poll_read(context, &mut piece))?;
+        self.state.head.add(piece.filled());
+        buffer.put_slice(piece.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/proxy/src/http/transport.rs
+++ b/proxy/src/http/transport.rs
@@ -1,9 +1,11 @@
 //! The transport to hosts: one request at a time on a connection, idle ones kept for the next.
 
+use super::client_probe::{ClientProbe, ClientStatus};
 use super::exchange::{exchange, Connection, Exchanged};
 use super::idle::{IdleConnections, Reused};
 use super::reuse::ReuseStats;
 use super::surplus::{HostSurplus, Surplus};
+use crate::memory::{Memory, MemoryPlan, PoolStats};
 use flaxhead_engine::{AttemptResult, AttemptTarget, Transport, WriteMeter};
 use flaxhead_policy::{Outcome, ServerId};
 use http_body_util::Full;
@@ -14,6 +16,7 @@
 use std::collections::HashMap;
 use std::fmt::Debug;
 use std::future::Future;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +25,9 @@
 /// Share of the time for which hosts keep an idle connection, after which it is no longer used.
 const IDLE_FRACTION: f64 = 0.9;
 
+/// Memory that is divided where no limit is set.
+const DEFAULT_MEMORY_BYTES: usize = 192_000_000;
+
 /// A client's request as hosts get it.
 #[derive(Debug)]
 pub struct Forward {
@@ -33,6 +39,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Whose it is.
+    pub client: Rc<dyn ClientProbe>,
 }
 
 impl Forward {
@@ -83,6 +91,16 @@
     connect_timeout: Duration,
     /// For how long a connection is kept idle: a request must not cross its host's close.
     max_idle: Duration,
+    memory: Memory,
+    /// What was shed by the last sweep.
+    logged_shed: ShedCounts,
+}
+
+/// Messages that were shed so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct ShedCounts {
+    requests: u64,
+    responses: u64,
 }
 
 /// Connections to hosts.
@@ -102,9 +120,18 @@
             max_connections: connections_most,
             connect_timeout,
             max_idle: conn_idle.mul_f64(IDLE_FRACTION),
+            memory: Memory::new(&MemoryPlan::new(DEFAULT_MEMORY_BYTES, 0)),
+            logged_shed: ShedCounts::default(),
         })))
     }
 
+    /// Holds responses in this memory.
+    #[must_use]
+    pub fn with_memory(self, memory: Memory) -> Http {
+        self.0.borrow_mut().memory = memory;
+        self
+    }
+
     async fn attempt(
         self,
         target: AttemptTarget,
@@ -112,12 +139,17 @@
         forward: Rc<Forward>,
         meter: WriteMeter,
     ) -> Exchanged {
+        let pool = self.0.borrow().memory.responses.clone();
         if let Some(Reused { connection, idle_time, rest_left }) = reused {
             // A timer that is due at once would still take up to a millisecond.
             if !rest_left.is_zero() {
                 sleep(rest_left).await;
             }
-            let done = exchange(connection, forward.request(target.deadline), &meter).await;
+            let request = forward.request(target.deadline);
+            let done = exchange(connection, request, &meter, forward.client.clone(), &pool).await;
+            if done.is_none() && forward.client.status() == ClientStatus::Left {
+                return Exchanged::without_response(Outcome::NotSent);
+            }
             let broken = done.as_ref().is_none_or(|done| done.outcome == Outcome::Reset);
             let mut pools = self.0.borrow_mut();
             pools.counts.broken_reuse += u64::from(broken);
@@ -132,15 +164,21 @@
             (pools.slot(), pools.connect_timeout, pools.surplus_of(target.server))
         };
         let Some(slot) = slot else { return Exchanged::without_response(Outcome::NotSent) };
-        let opened = Connection::open(target.address, limit, slot, surplus).await;
+        let opened = Connection::open(target.address, limit, slot, surplus, &pool).await;
         {
             let counts = &mut self.0.borrow_mut().counts;
             *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1;
         }
         let done = match opened {
-            Ok(connection) => exchange(connection, forward.request(target.deadline), &meter).await,
+            Ok(connection) => {
+                let request = forward.request(target.deadline);
+                exchange(connection, request, &meter, forward.client.clone(), &pool).await
+            }
             Err(_) => None,
         };
+        if done.is_none() && forward.client.status() == ClientStatus::Left {
+            return Exchanged::without_response(Outcome::NotSent);
+        }
         done.unwrap_or_else(|| Exchanged::without_response(Outcome::NoConnection))
     }
 }
@@ -185,6 +223,7 @@
     fn sweep(&self) {
         let pools = &mut *self.0.borrow_mut();
         pools.reuse.decay();
+        pools.log_shed();
         let (now, max_idle) = (Instant::now(), pools.max_idle);
         pools.hosts.values_mut().for_each(|pool| pool.idle.retain(now, max_idle, |_| true));
     }
@@ -195,7 +234,8 @@
         let open = Rc::strong_count(&pools.slots) - 1;
         let surplus = pools.surplus.count();
         let Counts { opened, open_failed, broken_reuse } = pools.counts;
-        Figures { open, idle, opened, open_failed, broken_reuse, surplus }
+        let (requests, responses) = (pools.memory.requests.stats(), pools.memory.responses.stats());
+        Figures { open, idle, opened, open_failed, broken_reuse, surplus, requests, responses }
     }
 }
 
@@ -210,9 +250,27 @@
     broken_reuse: u64,
     /// Those on which a host has sent bytes without a request.
     surplus: u64,
+    /// Memory of requests.
+    requests: PoolStats,
+    /// Memory of responses.
+    responses: PoolStats,
 }
 
 impl Pools {
+    /// Logs what was shed since the last time, if anything was.
+    fn log_shed(&mut self) {
+        let Memory { requests, responses } = &self.memory;
+        let counts = ShedCounts { requests: requests.stats().shed, responses: responses.stats().shed };
+        let before = mem::replace(&mut self.logged_shed, counts);
+        if counts != before {
+            tracing::info!(
+                "no memory: shed {} requests and {} responses in the last second",
+                counts.requests - before.requests,
+                counts.responses - before.responses
+            );
+        }
+    }
+
     /// An idle connection that is fit for an attempt.
     fn take_idle(&mut self, target: &AttemptTarget) -> Option<Reused<Connection>> {
         let Pools { hosts, reuse, surplus, max_idle, .. } = self;
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod maintenance_command;
 pub mod members;
+pub mod memory;
 pub mod output;
 pub mod program;
 
@@ -24,6 +25,7 @@
 use flaxhead_peers::Peers;
 use http::front::{self, Driver};
 use http::Http;
+use memory::Memory;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -45,12 +47,13 @@
     stop: impl Future<Output = ()>,
 ) {
     let sources = ListSources::new(&config, &features);
-    let engine = start_engine(&config, &features, &sources);
+    let memory = Memory::new(&config.memory_plan());
+    let engine = start_engine(&config, &features, &sources, memory.clone());
     let tasks = spawn_features(&config, &mut features, &engine);
     let snapshot = features.snapshot.clone();
     let following = spawn(follow_discovery(discovery, engine.clone(), sources, snapshot.clone()));
     let queues = features.quota.as_ref().map(|quota| quota.queues.clone());
-    let driver = Driver { engine: engine.clone(), config: Rc::new(config), queues };
+    let driver = Driver { engine: engine.clone(), config: Rc::new(config), queues, memory };
     // Peers learn of the stop while what was taken is answered.
     let (stopping, stopped) = oneshot::channel::<()>();
     let leaving = features.peers.map(|peers| spawn_local(leave(peers, stopped)));
@@ -78,6 +81,8 @@
 struct ListSources {
     is_shared: bool,
     seed: u64,
+    /// Longest text of a list.
+    max_list_bytes: usize,
     /// Where hosts are drained for maintenance, a proxy sends to none before it knows which are excluded.
     gate: Option<watch::Receiver<bool>>,
 }
@@ -88,6 +93,7 @@
             is_shared: config.settings.subscribe,
             // Derived, so that when a silent watch is opened again does not shift the module's random draws.
             seed: config.seed.rotate_left(16),
+            max_list_bytes: config.memory_plan().list_text_bytes,
             gate: features.maintenance.as_ref().map(MaintenanceService::may_serve),
         }
     }
@@ -98,6 +104,7 @@
             true => Discovery::shared(address, self.seed),
             false => Discovery::local_agent(address, self.seed),
         };
+        let discovery = discovery.with_max_list_bytes(self.max_list_bytes);
         match &self.gate {
             Some(gate) => Rc::new(GatedSource::new(discovery, gate.clone(), known, self.seed)),
             None => Rc::new(discovery),
@@ -105,8 +112,14 @@
     }
 }
 
-fn start_engine(config: &Config, features: &EnabledFeatures, sources: &ListSources) -> Engine<Http> {
-    let transport = Http::new(config.connections_each_way(), config.connect_timeout, config.conn_idle);
+fn start_engine(
+    config: &Config,
+    features: &EnabledFeatures,
+    sources: &ListSources,
+    memory: Memory,
+) -> Engine<Http> {
+    let transport = Http::new(config.connections_each_way(), config.connect_timeout, config.conn_idle)
+        .with_memory(memory);
     // Behind a gate the source has the known list, and the engine starts without one.
     let (gated, cached_list) = match sources.gate {
         Some(_) => (config.known.clone(), None),
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -2,8 +2,11 @@
 //! conditions, and `run` ends it with a failure when they do not come.
 #![allow(dead_code)]
 
+pub mod abuse;
 pub mod lag;
+pub mod rig;
 pub mod serve;
+pub mod usage;
 
 use flaxhead_proxy::config::Config;
 use flaxhead_proxy::enabled_features::EnabledFeatures;
--- /dev/null
+++ b/proxy/tests/common/usage.rs
@@ -0,0 +1,36 @@
+//! What a running process uses, as the system counts it.
+
+use std::fs;
+use std::process::Child;
+
+/// Clock ticks in a second, the unit of processor time in `/proc`.
+pub const TICKS_PER_SECOND: u64 = 100;
+
+fn status(child: &Child, key: &str) -> usize {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.id())).expect("a running process");
+    let line = status.lines().find_map(|line| line.strip_prefix(key)).expect("a line of the status");
+    let kilobytes = line.trim_start_matches(':').trim().split(' ').next().expect("a number");
+    kilobytes.parse::<usize>().expect("a number") << 10
+}
+
+/// Most bytes of memory that were resident at once.
+pub fn peak_resident_bytes(child: &Child) -> usize {
+    status(child, "VmHWM")
+}
+
+/// Bytes of memory that are resident.
+pub fn resident_bytes(child: &Child) -> usize {
+    status(child, "VmRSS")
+}
+
+/// Processor time that a process has used, in ticks.
+pub fn processor_ticks(child: &Child) -> u64 {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", child.id())).expect("a running process");
+    let fields: Vec<&str> = stat.rsplit(") ").next().expect("fields").split(' ').collect();
+    fields[11].parse::<u64>().expect("user time") + fields[12].parse::<u64>().expect("system time")
+}
+
+/// Descriptors that a process has open.
+pub fn descriptors(child: &Child) -> usize {
+    fs::read_dir(format!("/proc/{}/fd", child.id())).expect("a running process").count()
+}
--- a/proxy/tests/crossing.rs
+++ b/proxy/tests/crossing.rs
@@ -34,7 +34,7 @@
 
 fn forward() -> Rc<Forward> {
     let (target, headers, body) = (Uri::from_static("/api"), HeaderMap::new(), Bytes::new());
-    Rc::new(Forward { method: Method::GET, target, headers, body })
+    Rc::new(Forward { method: Method::GET, target, headers, body, client: Rc::new(()) })
 }
 
 /// A connection that has had one answer and rests; then something comes on it, and before the proxy's event queue has
--- a/proxy/tests/crowd.rs
+++ b/proxy/tests/crowd.rs
@@ -4,13 +4,14 @@
 mod common;
 
 use common::serve::{answer_each, bound, serve_each};
+use common::usage::{descriptors, processor_ticks};
 use common::*;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs;
 use std::future::ready;
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -68,17 +69,6 @@
     request("unsafe", "", "").replace("9b1f03aa5c7e2d41", id)
 }
 
-/// Processor time that a process has used, in clock ticks of a hundredth of a second.
-fn used(child: &Child) -> u64 {
-    let stat = fs::read_to_string(format!("/proc/{}/stat", child.id())).expect("a running process");
-    let fields: Vec<&str> = stat.rsplit(") ").next().expect("fields").split(' ').collect();
-    fields[11].parse::<u64>().expect("user time") + fields[12].parse::<u64>().expect("system time")
-}
-
-fn descriptors(child: &Child) -> usize {
-    fs::read_dir(format!("/proc/{}/fd", child.id())).expect("a running process").count()
-}
-
 #[test]
 fn idle_clients_that_fill_the_descriptors_keep_neither_requests_nor_discovery_out() {
     run(async {
@@ -136,9 +126,9 @@
         }
         println!("told after {} calls to discovery", asks.get());
         // Nobody comes and nobody goes: nothing is to be done.
-        let before = used(&child);
+        let before = processor_ticks(&child);
         sleep(Duration::from_secs(2)).await;
-        let ticks = used(&child) - before;
+        let ticks = processor_ticks(&child) - before;
         assert!(ticks <= 40, "{ticks} hundredths of a second of processor time in two idle seconds");
         assert!(child.try_wait().expect("it can be waited for").is_none(), "it has ended");
         drop(idle);
--- a/proxy/tests/withdrawn.rs
+++ b/proxy/tests/withdrawn.rs
@@ -77,7 +77,10 @@
             };
             let target = "/api".parse().expect("a path");
             let (headers, body) = Default::default();
-            engine.request(ask, Forward { method: Method::POST, target, headers, body }, None)
+            {
+                let client = Rc::new(());
+                engine.request(ask, Forward { method: Method::POST, target, headers, body, client }, None)
+            }
         };
         // Its connection is kept from here on.
         assert!(matches!(send().reply().await, Reply::Served(_)));
