Front and transport: nothing is begun for a client that has left, nor again for its id

What callers saw: a client closed its connection, its request was sent on afterwards, and its id ran twice when it came again.

Cause: the close of a client is learned from the event queue, and a process that is held up between two turns of its loop goes on with what it had: an attempt whose connection was coming up, or rested, was written before the client's task had its turn. Behind much that nobody has read the close does not show at all by reading.

Change: right before an attempt's first byte the system is asked whether the client's side is closed (`poll` with RDHUP, which shows a close behind unread bytes too). Such an attempt ends as one that was never sent. And a call that must run once, whose client left when a host may have run it, is remembered for 60 s, 4,096 of them at the most: the same id is answered 502 and sent nowhere.

--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -1,5 +1,6 @@
 //! One client's connection, from its first byte to its end.
 
+use super::abandoned::{must_run_once, GuardedCall};
 use super::activity::{Activity, Phase};
 use super::answer::{plain, rejected, served, shed, Answer};
 use super::client_stream::ClientStream;
@@ -8,8 +9,9 @@
 use super::Driver;
 use crate::features::access::{self, Admitted};
 use crate::http::exchange::MAX_HEAD_BYTES;
-use crate::http::{code, Reply};
+use crate::http::{code, Forward, Reply};
 use crate::memory::ShedHandle;
+use flaxhead_engine::{CallPermit, CallSpec};
 use flaxhead_policy::Access;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -188,6 +190,10 @@
         };
         self.activity.record_request();
         self.activity.enter(Phase::Responding);
+        if must_run_once(&self.driver, ask.class) && self.driver.abandoned.contains(call_id(&forward)) {
+            tracing::info!("failed: a call came again whose client had left, and a host may have run it");
+            return plain(StatusCode::BAD_GATEWAY);
+        }
         // A client that goes meanwhile leaves its queue.
         let ticket = match &self.driver.queues {
             None => None,
@@ -200,11 +206,25 @@
         if *self.stage.borrow() == ShutdownStage::Answered {
             return rejected(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
         }
-        let reply = self.driver.engine.request(ask, forward, ticket).reply().await;
+        let reply = self.reply(ask, forward, ticket).await;
         match (code(&reply), reply) {
             (_, Reply::Served(answer)) => served(answer),
             (code, Reply::Rejected(after)) => rejected(code, after),
             (code, Reply::Failed) => plain(code),
         }
     }
+
+    /// Waits for a call's reply. Where its client leaves meanwhile, a call that must run once is remembered.
+    async fn reply(&self, ask: CallSpec, forward: Forward, ticket: Option<Box<dyn CallPermit>>) -> Reply {
+        let id = must_run_once(&self.driver, ask.class).then(|| call_id(&forward).to_vec());
+        let pending = self.driver.engine.request(ask, forward, ticket);
+        match id {
+            Some(id) => GuardedCall::new(pending, id, self.driver.abandoned.clone()).reply().await,
+            None => pending.reply().await,
+        }
+    }
+}
+
+fn call_id(forward: &Forward) -> &[u8] {
+    forward.headers.get("x-call-id").map_or(&[], HeaderValue::as_bytes)
 }
--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -1,5 +1,6 @@
 //! The application's side: takes requests in and gives each its one answer.
 
+mod abandoned;
 mod activity;
 mod answer;
 mod client_stream;
@@ -13,6 +14,7 @@
 use crate::config::Config;
 use crate::features::quota::AdmissionQueues;
 use crate::memory::Memory;
+pub use abandoned::AbandonedCalls;
 pub use socket::PrefixedStream;
 
 use clients::{Clients, ACCEPT_RETRY_DELAY};
@@ -53,6 +55,8 @@
     pub queues: Option<AdmissionQueues>,
     /// Where requests are held.
     pub memory: Memory,
+    /// Calls that must not run when they come again.
+    pub abandoned: AbandonedCalls,
 }
 
 /// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
--- a/proxy/src/http/stream.rs
+++ b/proxy/src/http/stream.rs
@@ -1,7 +1,7 @@
 //! The stream of a connection to a host: it counts what is written for an attempt, and notices what comes without a
 //! request.
 
-use super::client_probe::ClientProbe;
+use super::client_probe::{ClientProbe, ClientStatus};
 use super::surplus::HostSurplus;
 use crate::memory::{HeadProgress, MemoryPool, Reservation, MAX_READ_BYTES};
 use flaxhead_engine::WriteMeter;
@@ -183,6 +183,10 @@
         if meter.bytes_written() == 0 && !is_quiet(self.io.inner()) {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
+        // Nothing is begun for a client that has left.
+        if meter.bytes_written() == 0 && self.state.client.borrow().status() == ClientStatus::Left {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = Pin::new(&mut self.io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
             meter.set_bytes_written(meter.bytes_written() + count);
