Front: connections that ask without end for what no host works for are read more slowly

What callers saw: while one client sent small or unsound requests at full speed, others got their answers late.

Cause: an error, a health check or a refusal costs a client nothing to ask for, and a connection was read as fast as it was answered: one took a whole core. Where the process has a part of a core, what it may use is gone before the others have their turn; each of their requests needs some eight turns of the loop.

Change: `Throttle`. What a host may have worked for never counts. Empty lines without end count as well. Between two accepts the other tasks have their turn. Also: the handle that lets an unread response be shed goes with the response.

--- a/proxy/src/config/mod.rs
+++ b/proxy/src/config/mod.rs
@@ -72,6 +72,8 @@
     pub seed: u64,
     /// Most file descriptors that the process may hold.
     pub sockets: usize,
+    /// The part of a core that the process may use.
+    pub cores: f64,
     /// Most bytes of memory that the process may use.
     pub memory_bytes: usize,
     /// The hosts as this proxy last had them; maybe old.
@@ -111,11 +113,12 @@
 struct Limits {
     sockets: usize,
     memory_mb: usize,
+    cores: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024, memory_mb: 192 }
+        Limits { sockets: 1_024, memory_mb: 192, cores: 1.0 }
     }
 }
 
@@ -169,6 +172,7 @@
             discovery: file.discovery,
             seed,
             sockets: file.limits.sockets,
+            cores: file.limits.cores,
             memory_bytes: file.limits.memory_mb.saturating_mul(BYTES_PER_MB),
             known: file.known,
             settings,
--- a/proxy/src/http/exchange.rs
+++ b/proxy/src/http/exchange.rs
@@ -134,7 +134,10 @@
     pool: &MemoryPool,
 ) -> Result<Response<Bytes>, CollectError> {
     head.headers = compact_headers(&head.headers, pool.reservation()).await?;
-    let body = collect(body, MAX_BODY_BYTES, Reserve::Announced, pool.reservation()).await?;
+    let reservation = pool.reservation();
+    // For whoever writes it: a response that its client does not read may be shed.
+    head.extensions.insert(reservation.handle());
+    let body = collect(body, MAX_BODY_BYTES, Reserve::Announced, reservation).await?;
     Ok(Response::from_parts(head, body))
 }
 
--- a/proxy/src/http/front/client_stream.rs
+++ b/proxy/src/http/front/client_stream.rs
@@ -8,6 +8,7 @@
 use super::activity::{Activity, Phase};
 use super::input::Input;
 use super::socket::Socket;
+use super::throttle::{ConnectionThrottle, Throttle};
 use crate::http::{ClientProbe, ClientStatus};
 use crate::memory::{MemoryPool, ShedHandle, MAX_READ_BYTES};
 use std::cell::RefCell;
@@ -19,7 +20,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadBuf};
-use tokio::time::{sleep, timeout, Instant, Sleep};
+use tokio::time::{sleep, sleep_until, timeout, Instant, Sleep};
 
 /// Most bytes that are read ahead of an open request. Clients send one request at a time: whoever sends more than this
 /// behind an unanswered one is none.
@@ -41,6 +42,9 @@
     end: Option<End>,
     linger: Option<Linger>,
     output: Output,
+    throttle: ConnectionThrottle,
+    /// The pause that the throttle demands.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 /// What is known of the bytes to the client.
@@ -99,10 +103,16 @@
 
 impl<S: Socket> ClientStream<S> {
     /// Wraps a connection, which reads into this pool.
-    pub fn new(stream: S, activity: Rc<Activity>, pool: &MemoryPool) -> ClientStream<S> {
+    pub fn new(
+        stream: S,
+        activity: Rc<Activity>,
+        pool: &MemoryPool,
+        throttle: Rc<Throttle>,
+    ) -> ClientStream<S> {
         let input = Input::new(pool.clone());
         let output = Output { flushed: true, response: None };
-        let inner = Inner { stream, input, end: None, linger: None, output };
+        let throttle = ConnectionThrottle::new(throttle);
+        let inner = Inner { stream, input, end: None, linger: None, output, throttle, pause: None };
         ClientStream { inner: Rc::new(RefCell::new(inner)), activity }
     }
 
@@ -135,6 +145,11 @@
         inner.output.response = response;
     }
 
+    /// Counts a response that no host has worked for.
+    pub fn record_local_response(&self) {
+        self.inner.borrow_mut().throttle.record(Instant::now());
+    }
+
     /// Whether the connection holds memory that others need, so that it is not to be kept open.
     pub fn holds_needed_memory(&self) -> bool {
         self.inner.borrow().input.holds_needed_memory()
@@ -214,6 +229,7 @@
     /// Reads until something can be passed on, and passes it on.
     fn poll_input(&mut self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         while self.end.is_none() && !self.input.is_ready() {
+            ready!(self.poll_pause(context));
             ready!(self.input.poll_room(context));
             let mut is_passed = false;
             let read = self.poll_piece(context, buffer.remaining(), |input, bytes| {
@@ -226,6 +242,10 @@
                     input.add(bytes);
                 }
             });
+            if read.is_ready() && !is_passed && self.input.is_empty() && self.end.is_none() {
+                // Empty lines and nothing else.
+                self.throttle.record(Instant::now());
+            }
             if is_passed || read.is_pending() {
                 self.input.release_surplus();
                 return read.map(Ok);
@@ -241,6 +261,19 @@
         })
     }
 
+    /// Ready once the connection may be read again. A request that has begun is read on.
+    fn poll_pause(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let now = Instant::now();
+        let until = self.throttle.paused_until(now).filter(|_| self.input.is_between_requests());
+        if let Some(until) = until {
+            let pause = self.pause.get_or_insert_with(|| Box::pin(sleep_until(until)));
+            pause.as_mut().reset(until);
+            ready!(pause.as_mut().poll(context));
+        }
+        self.pause = None;
+        Poll::Ready(())
+    }
+
     /// Reads and drops what still comes, for a while.
     fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
         let Inner { stream, linger, .. } = self;
--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -2,7 +2,7 @@
 
 use super::abandoned::{must_run_once, GuardedCall};
 use super::activity::{Activity, Phase};
-use super::answer::{plain, rejected, served, shed, Answer};
+use super::answer::{failed, plain, rejected, served, shed, Answer, HostWork};
 use super::client_stream::ClientStream;
 use super::request::read_request;
 use super::socket::Socket;
@@ -10,7 +10,6 @@
 use crate::features::access::{self, Admitted};
 use crate::http::exchange::MAX_HEAD_BYTES;
 use crate::http::{code, Forward, Reply};
-use crate::memory::ShedHandle;
 use flaxhead_engine::{CallPermit, CallSpec};
 use flaxhead_policy::Access;
 use hyper::body::Incoming;
@@ -82,7 +81,12 @@
 
     /// Answers what comes on a connection, until it ends.
     pub(super) async fn serve(self, stream: impl Socket) {
-        let stream = ClientStream::new(stream, self.activity.clone(), &self.driver.memory.requests);
+        let stream = ClientStream::new(
+            stream,
+            self.activity.clone(),
+            &self.driver.memory.requests,
+            self.driver.throttle.clone(),
+        );
         // What the library holds of the connection is gone before a refusal is written.
         if self.serve_requests(&stream).await == ConnectionEnd::Shed {
             self.activity.enter(Phase::Closing);
@@ -156,7 +160,11 @@
         if stream.holds_needed_memory() {
             answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        stream.end_request(answer.extensions_mut().remove::<ShedHandle>());
+        let host_work = answer.extensions_mut().remove::<HostWork>();
+        if host_work.is_none() {
+            stream.record_local_response();
+        }
+        stream.end_request(host_work.and_then(|work| work.memory));
         self.activity.enter(Phase::Idle);
         answer
     }
@@ -210,7 +218,7 @@
         match (code(&reply), reply) {
             (_, Reply::Served(answer)) => served(answer),
             (code, Reply::Rejected(after)) => rejected(code, after),
-            (code, Reply::Failed) => plain(code),
+            (code, Reply::Failed) => failed(code),
         }
     }
 
--- a/proxy/src/http/front/input.rs
+++ b/proxy/src/http/front/input.rs
@@ -61,6 +61,11 @@
         self.bytes.is_empty()
     }
 
+    /// Whether nothing of a request is here, nor expected by the library.
+    pub fn is_between_requests(&self) -> bool {
+        self.bytes.is_empty() && self.gathers()
+    }
+
     pub fn len(&self) -> usize {
         self.bytes.len()
     }
--- a/proxy/src/http/front/mod.rs
+++ b/proxy/src/http/front/mod.rs
@@ -9,6 +9,7 @@
 mod input;
 mod request;
 mod socket;
+mod throttle;
 
 use super::Engine;
 use crate::config::Config;
@@ -16,6 +17,7 @@
 use crate::memory::Memory;
 pub use abandoned::AbandonedCalls;
 pub use socket::PrefixedStream;
+pub use throttle::Throttle;
 
 use clients::{Clients, ACCEPT_RETRY_DELAY};
 use connection::ShutdownStage;
@@ -28,6 +30,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Connections that may wait to be accepted.
@@ -57,6 +60,8 @@
     pub memory: Memory,
     /// Calls that must not run when they come again.
     pub abandoned: AbandonedCalls,
+    /// Limits answers that no host works for.
+    pub throttle: Rc<Throttle>,
 }
 
 /// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
@@ -117,7 +122,11 @@
         }
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => clients.serve(stream, peer.ip()),
+                Ok((stream, peer)) => {
+                    clients.serve(stream, peer.ip());
+                    // Those that come without end must not keep the others from their turn.
+                    yield_now().await;
+                }
                 Err(error) => {
                     tracing::info!("accept: {error}");
                     sleep(ACCEPT_RETRY_DELAY).await;
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -23,7 +23,7 @@
 use flaxhead_engine::{spawn, EndpointList, Engine, EngineConfig, ListSource, Task};
 use flaxhead_maintenance_driver::MaintenanceService;
 use flaxhead_peers::Peers;
-use http::front::{self, AbandonedCalls, Driver};
+use http::front::{self, AbandonedCalls, Driver, Throttle};
 use http::Http;
 use memory::Memory;
 use std::future::Future;
@@ -54,7 +54,9 @@
     let following = spawn(follow_discovery(discovery, engine.clone(), sources, snapshot.clone()));
     let queues = features.quota.as_ref().map(|quota| quota.queues.clone());
     let abandoned = AbandonedCalls::default();
-    let driver = Driver { engine: engine.clone(), config: Rc::new(config), queues, memory, abandoned };
+    let throttle = Throttle::new(config.cores);
+    let driver =
+        Driver { engine: engine.clone(), config: Rc::new(config), queues, memory, abandoned, throttle };
     // Peers learn of the stop while what was taken is answered.
     let (stopping, stopped) = oneshot::channel::<()>();
     let leaving = features.peers.map(|peers| spawn_local(leave(peers, stopped)));
--- a/proxy/tests/common/rig.rs
+++ b/proxy/tests/common/rig.rs
@@ -4,6 +4,7 @@
 use super::usage::peak_resident_bytes;
 use super::*;
 use std::collections::BTreeMap;
+use std::path::Path;
 use std::time::Duration;
 use tokio::time::{timeout, Instant};
 
@@ -12,7 +13,7 @@
 /// Hosts of each kind.
 const HOSTS_OF_A_KIND: usize = 20;
 /// How long a sound client waits, as its requests say.
-const SOUND_BUDGET: Duration = Duration::from_secs(2);
+pub const SOUND_BUDGET: Duration = Duration::from_secs(2);
 /// By how much its answer may be later on a busy machine.
 const SOUND_SLACK: Duration = Duration::from_millis(500);
 
@@ -21,10 +22,16 @@
 pub struct LimitsOfRun {
     pub memory_mb: usize,
     pub sockets: usize,
+    pub cores: f64,
 }
 
 /// The least memory that the pages name, with the most descriptors.
-pub const LEAST_MEMORY: LimitsOfRun = LimitsOfRun { memory_mb: 32, sockets: 1_024 };
+pub const LEAST_MEMORY: LimitsOfRun = LimitsOfRun { memory_mb: 32, sockets: 1_024, cores: 1.0 };
+
+/// The operators' file that is in service.
+fn in_service() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/flaxhead.ini")
+}
 
 /// A running program.
 pub struct Rig {
@@ -39,16 +46,37 @@
 impl Rig {
     /// Starts the program with the operators' file that is in service.
     pub async fn start(name: &str, limits: LimitsOfRun, answers: &[Answers]) -> Rig {
-        let file = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/flaxhead.ini");
-        Rig::with_features(name, limits, answers, &file).await
+        Rig::with(name, limits, answers, &in_service(), |_| ()).await
+    }
+
+    /// The same where no client waits longer than `deadline`.
+    pub async fn with_deadline(
+        name: &str,
+        limits: LimitsOfRun,
+        answers: &[Answers],
+        deadline: Duration,
+    ) -> Rig {
+        let set_deadline = |config: &mut serde_json::Value| {
+            for class in 0..3 {
+                config["settings"]["classes"][class]["deadline_us"] = (deadline.as_micros() as u64).into();
+                config["settings"]["classes"][class]["objective_us"] =
+                    (deadline.as_micros() as u64 / 2).into();
+            }
+        };
+        Rig::with(name, limits, answers, &in_service(), set_deadline).await
     }
 
     /// Starts the program with an operators' file.
-    pub async fn with_features(
+    pub async fn with_features(name: &str, limits: LimitsOfRun, answers: &[Answers], file: &Path) -> Rig {
+        Rig::with(name, limits, answers, file, |_| ()).await
+    }
+
+    async fn with(
         name: &str,
         limits: LimitsOfRun,
         answers: &[Answers],
-        file: &std::path::Path,
+        file: &Path,
+        change: impl FnOnce(&mut serde_json::Value),
     ) -> Rig {
         let runs = Runs::default();
         let mut hosts = Vec::new();
@@ -63,8 +91,10 @@
             config["listen"] = address.to_string().into();
             config["limits"]["memory_mb"] = limits.memory_mb.into();
             config["limits"]["sockets"] = limits.sockets.into();
+            config["limits"]["cores"] = limits.cores.into();
             config["settings"]["discovery"] = "push".into();
             config["known"]["hosts"] = hosts.into();
+            change(config);
         });
         let (mut command, path) = program(&config, &format!("{name}.json"));
         let log = std::fs::File::create(path.with_extension("log")).expect("a log");
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -127,7 +127,7 @@
 fn a_larger_limit_is_used_and_kept() {
     run(async {
         for memory_mb in [48, 96] {
-            let limits = LimitsOfRun { memory_mb, sockets: 1_024 };
+            let limits = LimitsOfRun { memory_mb, ..LEAST_MEMORY };
             let answers = [Answers::Largely, Answers::Soundly];
             let mut rig = Rig::start(&format!("memory-{memory_mb}"), limits, &answers).await;
             let mut clients = Vec::new();
