--- a/proxy/src/features/status/server.rs
+++ b/proxy/src/features/status/server.rs
@@ -5,10 +5,11 @@
 use super::view::{RenderedPage, StatusView};
 use crate::http::Engine;
 use crate::maintenance_command::COMMIT_TIMEOUT;
+use crate::memory::{collect, MemoryPool, Reserve, WhenFull};
 use flaxhead_maintenance::Command;
 use flaxhead_maintenance_driver::MaintenanceService;
 use flaxhead_peers::Peers;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
@@ -31,6 +32,8 @@
 const CONNECTION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failure to accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Most bytes of a request's head.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Most bytes of a command.
 const MAX_COMMAND_BYTES: usize = 4_096;
 
@@ -125,6 +128,7 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
+        .max_buf_size(MAX_HEAD_BYTES)
         .keep_alive(false)
         .serve_connection(TokioIo::new(stream), service);
     spawn_local(async move {
@@ -154,11 +158,13 @@
     match *request.method() {
         Method::GET => json(&maintenance.view()),
         Method::POST => {
-            let body = Limited::new(request.into_body(), MAX_COMMAND_BYTES).collect();
+            let pool = MemoryPool::new(2 * MAX_COMMAND_BYTES, WhenFull::Refuse);
+            let body =
+                collect(request.into_body(), MAX_COMMAND_BYTES, Reserve::AsItComes, pool.reservation());
             let Ok(Ok(body)) = timeout(CONNECTION_TIMEOUT, body).await else {
                 return empty(StatusCode::PAYLOAD_TOO_LARGE);
             };
-            match serde_json::from_slice::<Command>(&body.to_bytes()) {
+            match serde_json::from_slice::<Command>(&body) {
                 Ok(command) => json(&maintenance.submit(command, COMMIT_TIMEOUT).await),
                 Err(error) => {
                     let mut response = Response::new(Full::from(error.to_string()));
--- a/proxy/src/http/front/client_stream.rs
+++ b/proxy/src/http/front/client_stream.rs
@@ -165,13 +165,13 @@
         inner.input.poll_shed(context)
     }
 
-    /// Refuses a request that has not come whole, and closes the connection.
-    pub async fn refuse(mut self) {
+    /// Closes the connection. A request that has begun and has not come whole is refused.
+    pub async fn shed(mut self, has_begun: bool) {
         // The library, with its buffer, is gone.
         self.inner.borrow_mut().input.clear();
         let refusing = async {
             // Within a response it would be taken for a part of it.
-            if self.inner.borrow().output.flushed {
+            if has_begun && self.inner.borrow().output.flushed {
                 self.write_all(REFUSAL).await?;
             }
             self.shutdown().await
--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -89,8 +89,9 @@
         );
         // What the library holds of the connection is gone before a refusal is written.
         if self.serve_requests(&stream).await == ConnectionEnd::Shed {
+            let has_begun = self.activity.phase() == Phase::Reading;
             self.activity.enter(Phase::Closing);
-            stream.refuse().await;
+            stream.shed(has_begun).await;
         }
     }
 
--- a/proxy/src/http/front/input.rs
+++ b/proxy/src/http/front/input.rs
@@ -104,9 +104,7 @@
 
     /// Whether the library is to get bytes that have just come, rather than have them gathered.
     pub fn is_passed_at_once(&self, bytes: &[u8]) -> bool {
-        // Where there is no memory to gather it, the library's buffer has room for this much.
-        let must_pass = || { self.scanner }.take(bytes) || !self.try_room();
-        self.bytes.is_empty() && (!self.gathers() || must_pass())
+        self.bytes.is_empty() && (!self.gathers() || { self.scanner }.take(bytes))
     }
 
     /// Whether what was gathered is to be passed on.
@@ -131,14 +129,9 @@
         self.reservation.poll_resize(self.excess + gathered, context)
     }
 
-    /// Takes room for another read, if there is some.
-    pub fn try_room(&self) -> bool {
-        self.reservation.try_resize(self.excess + self.capacity_with(MAX_READ_BYTES))
-    }
-
-    /// Takes room for reading ahead, which leaves half of the memory to requests.
+    /// Takes room for another read ahead, if there is some. Half of the memory is left to requests.
     pub fn try_room_ahead(&self) -> bool {
-        self.pool.has_spare() && self.try_room()
+        self.pool.has_spare() && self.reservation.try_resize(self.excess + self.capacity_with(MAX_READ_BYTES))
     }
 
     /// Gives up all that was read.
@@ -154,7 +147,7 @@
         self.reservation.poll_shed(context)
     }
 
-    /// Adds bytes for which there is room.
+    /// Adds bytes. The first read has no room yet: that is asked for before the next.
     pub fn add(&mut self, bytes: &[u8]) {
         if self.bytes.is_empty() || self.expected == Expected::Head {
             self.since = Instant::now();
--- a/proxy/src/memory/mod.rs
+++ b/proxy/src/memory/mod.rs
@@ -19,10 +19,9 @@
 pub use pool::{MemoryPool, PoolStats, WhenFull};
 pub use reservation::{Reservation, ShedHandle};
 
-/// Buffer that the HTTP library keeps for each connection, which is part of the connection's own cost. Reads are cut to
-/// half of it, so that the library has no reason to let it grow.
+/// Buffer that the HTTP library keeps for each connection, which is part of the connection's own cost.
 pub const READ_BUFFER_BYTES: usize = 8 << 10;
-/// Most bytes of one read from a connection.
+/// Most bytes of one read from a connection. After one that fills its buffer the library would take a larger one.
 pub const MAX_READ_BYTES: usize = READ_BUFFER_BYTES / 2;
 
 /// The pools of requests and of responses.
--- a/proxy/src/memory/reservation.rs
+++ b/proxy/src/memory/reservation.rs
@@ -49,6 +49,9 @@
     ///
     /// Where the message is to be shed instead.
     pub(super) async fn resize(&self, bytes: usize) -> Result<(), Shed> {
+        if self.try_resize(bytes) {
+            return Ok(());
+        }
         loop {
             let resized = poll_fn(|context| match self.poll_resize(bytes, context) {
                 Poll::Ready(()) => Poll::Ready(Ok(())),
