Front: a request that stops in its middle ends after 2.5 s on connections that rested too

Change: where a request is being read and nothing has come for 2.5 s, the client gets 408 and a close. Bytes count as having come only when they have: each turn of a gathered head counted before.

Result: `a_request_that_stops_in_its_middle_ends_within_the_time_that_bad_peers_are_owed` fails on after 60 s (head, rested connection) and passes now.

--- a/proxy/src/http/front/client_stream.rs
+++ b/proxy/src/http/front/client_stream.rs
@@ -29,8 +29,11 @@
 /// and take the answer along that is still on its way.
 const LINGER_TIME: Duration = Duration::from_millis(200);
 const MAX_LINGER_BYTES: usize = 256 << 10;
+/// What a client is told that has stopped in the middle of a request.
+pub(super) const REQUEST_TIMEOUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 /// What a client is told whose request is shed before its head is complete.
-const REFUSAL: &[u8] =
+pub(super) const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 #[derive(Debug)]
@@ -165,19 +168,20 @@
         inner.input.poll_shed(context)
     }
 
-    /// Closes the connection. A request that has begun and has not come whole is refused.
-    pub async fn shed(mut self, has_begun: bool) {
+    /// Closes the connection, with a last answer to a request that has not come whole.
+    pub async fn close_with(mut self, last_answer: Option<&[u8]>) {
         // The library, with its buffer, is gone.
         self.inner.borrow_mut().input.clear();
-        let refusing = async {
+        let closing = async {
             // Within a response it would be taken for a part of it.
-            if has_begun && self.inner.borrow().output.flushed {
-                self.write_all(REFUSAL).await?;
+            let is_flushed = self.inner.borrow().output.flushed;
+            if let Some(answer) = last_answer.filter(|_| is_flushed) {
+                self.write_all(answer).await?;
             }
             self.shutdown().await
         };
         // Whoever does not read it gets the close alone.
-        let _ = timeout(LINGER_TIME * 2, refusing).await;
+        let _ = timeout(LINGER_TIME * 2, closing).await;
     }
 }
 
@@ -301,10 +305,10 @@
         let inner = &mut *self.inner.borrow_mut();
         let was_gathered = !inner.input.is_empty();
         let since = inner.input.since();
-        let before = buffer.filled().len();
+        let (before, gathered_before) = (buffer.filled().len(), inner.input.len());
         let read = inner.poll_input(context, buffer);
         let came_at = if was_gathered { since } else { Instant::now() };
-        if buffer.filled().len() > before || !inner.input.is_empty() {
+        if buffer.filled().len() > before || inner.input.len() > gathered_before {
             self.activity.record_received(came_at);
         }
         read
--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -3,7 +3,7 @@
 use super::abandoned::{must_run_once, GuardedCall};
 use super::activity::{Activity, Phase};
 use super::answer::{failed, plain, rejected, served, shed, Answer, HostWork};
-use super::client_stream::ClientStream;
+use super::client_stream::{ClientStream, REFUSAL, REQUEST_TIMEOUT};
 use super::request::read_request;
 use super::socket::Socket;
 use super::Driver;
@@ -27,11 +27,14 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Time for a further request's head, from the last answer: a client that says nothing more is closed.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// How long a request may stop in its middle: a peer that sends no whole one is owed an error or a close within 3 s.
+const STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+
 /// How far the proxy's stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ShutdownStage {
@@ -50,6 +53,8 @@
     Closed,
     /// Its memory is needed by others: what has come of a request is to be refused.
     Shed,
+    /// Its client has stopped in the middle of a request.
+    Stalled,
 }
 
 /// A client's connection as the HTTP library serves it.
@@ -88,11 +93,15 @@
             self.driver.throttle.clone(),
         );
         // What the library holds of the connection is gone before a refusal is written.
-        if self.serve_requests(&stream).await == ConnectionEnd::Shed {
-            let has_begun = self.activity.phase() == Phase::Reading;
-            self.activity.enter(Phase::Closing);
-            stream.shed(has_begun).await;
-        }
+        let end = self.serve_requests(&stream).await;
+        let last_answer = match end {
+            ConnectionEnd::Closed => return,
+            ConnectionEnd::Shed if self.activity.phase() != Phase::Reading => None,
+            ConnectionEnd::Shed => Some(REFUSAL),
+            ConnectionEnd::Stalled => Some(REQUEST_TIMEOUT),
+        };
+        self.activity.enter(Phase::Closing);
+        stream.close_with(last_answer).await;
     }
 
     async fn serve_requests<S: Socket>(&self, stream: &ClientStream<S>) -> ConnectionEnd {
@@ -126,6 +135,7 @@
             // Nobody is left to say it once the whole proxy has ended.
             let _ = stage.wait_for(|stage| *stage != ShutdownStage::Serving).await;
         });
+        let mut stall = pin!(self.stalled());
         let (mut stops, mut ends_soon) = (false, false);
         let waits = || self.activity.phase() == Phase::Responding;
         let ended = poll_fn(|context| {
@@ -148,11 +158,28 @@
             if waits() && stream.poll_disconnected(context).is_ready() {
                 return Poll::Ready(ConnectionEnd::Closed);
             }
+            if stall.as_mut().poll(context).is_ready() {
+                return Poll::Ready(ConnectionEnd::Stalled);
+            }
             stream.poll_shed(context).map(|()| ConnectionEnd::Shed)
         });
         ended.await
     }
 
+    /// Waits until the client has stopped in the middle of a request.
+    async fn stalled(&self) {
+        loop {
+            let age = match self.activity.phase() {
+                Phase::Reading => self.activity.age(),
+                _ => Duration::ZERO,
+            };
+            match STALL_TIMEOUT.checked_sub(age).filter(|left| !left.is_zero()) {
+                Some(left) => sleep(left).await,
+                None => return,
+            }
+        }
+    }
+
     /// Answers a request, and notes what the connection does meanwhile.
     async fn respond<S: Socket>(&self, request: Request<Incoming>, stream: &ClientStream<S>) -> Answer {
         self.activity.enter(Phase::Reading);
--- a/proxy/tests/requests.rs
+++ b/proxy/tests/requests.rs
@@ -5,7 +5,7 @@
 use common::*;
 use std::slice::from_ref;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 #[test]
 fn a_request_goes_on_unchanged_and_so_does_its_answer() {
@@ -215,3 +215,33 @@
         assert_eq!(good.ask(&request("unsafe", "", "")).await.body, b"served", "it was not closed");
     });
 }
+
+/// On a new connection and on one that has rested, in a head and in a body: the peer is owed an end within 3 s.
+#[test]
+fn a_request_that_stops_in_its_middle_ends_within_the_time_that_bad_peers_are_owed() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let whole = request("unsafe", "", "a body");
+        let ends = [40, whole.len() - 1].map(|length| &whole[..length]);
+        let stopping =
+            ends.into_iter().flat_map(|part| [(part, false), (part, true)]).map(|(part, rests)| {
+                let proxy = &proxy;
+                async move {
+                    let mut client = proxy.client().await;
+                    if rests {
+                        assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+                    }
+                    client.send(part).await;
+                    let stopped = Instant::now();
+                    let answer = client.message().await;
+                    assert!(answer.is_none_or(|answer| answer.status() == 408), "{part:?} {rests}");
+                    assert!(stopped.elapsed() < Duration::from_secs(3), "{part:?} {rests}");
+                }
+            });
+        for stopping in stopping {
+            stopping.await;
+        }
+        assert!(host.seen.borrow().iter().all(|seen| seen.first.starts_with("GET")), "a part was sent on");
+    });
+}
