Front: what has come is not left unread at a stop where there is no memory to spare

Cause: whether a connection is quiet was asked by reading ahead, which pauses once half of the requests' memory is in use: a request that stood unread would have been closed with its connection. One piece is read now whatever is in use. Found by reading the code; no run has shown it. The tests of the stop hold (stop, process, silence).

--- a/proxy/src/http/front/client_stream.rs
+++ b/proxy/src/http/front/client_stream.rs
@@ -132,8 +132,12 @@
     /// Whether nothing of a further request is here: neither in hand nor waiting to be read.
     pub fn is_quiet(&self, context: &mut Context<'_>) -> bool {
         let mut inner = self.inner.borrow_mut();
-        let quiet = matches!(self.activity.phase(), Phase::New | Phase::Idle);
-        quiet && inner.poll_ahead(context).is_pending() && inner.input.is_empty()
+        if !matches!(self.activity.phase(), Phase::New | Phase::Idle) || inner.end.is_some() {
+            return false;
+        }
+        // Also where there is no memory to spare: what has come is not left unread.
+        let read = inner.poll_piece(context, MAX_READ_BYTES, |input, bytes| input.add(bytes));
+        read.is_pending() && inner.input.is_empty()
     }
 
     /// The library has a request's head.
