--- a/proxy/src/http/front/abandoned.rs
+++ b/proxy/src/http/front/abandoned.rs
@@ -18,6 +18,10 @@
 /// Most calls that are remembered; the oldest is forgotten first.
 const MAX_CALLS: usize = 4_096;
 
+/// Stands for a call's id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct IdHash(u64);
+
 #[derive(Debug, Default)]
 struct Inner {
     hasher: RandomState,
@@ -31,17 +35,20 @@
 pub struct AbandonedCalls(Rc<RefCell<Inner>>);
 
 impl AbandonedCalls {
+    /// What stands for a call's id, which may be as long as a head.
+    pub(super) fn hash(&self, id: &[u8]) -> IdHash {
+        IdHash(self.0.borrow().hasher.hash_one(id))
+    }
+
     /// Whether a call with this id was abandoned after a host may have run it.
-    pub(super) fn contains(&self, id: &[u8]) -> bool {
+    pub(super) fn contains(&self, IdHash(id): IdHash) -> bool {
         let mut inner = self.0.borrow_mut();
         inner.forget_old();
-        let id = inner.hasher.hash_one(id);
         inner.ids.contains(&id)
     }
 
-    fn insert(&self, id: &[u8]) {
+    fn insert(&self, IdHash(id): IdHash) {
         let mut inner = self.0.borrow_mut();
-        let id = inner.hasher.hash_one(id);
         if inner.ids.insert(id) {
             inner.order.push_back((Instant::now(), id));
         }
@@ -73,13 +80,13 @@
 /// A call that must run once and waits for its response. Dropped before that, it is remembered.
 pub(super) struct GuardedCall {
     pending: Option<PendingCall<Http>>,
-    id: Vec<u8>,
+    id: IdHash,
     abandoned: AbandonedCalls,
 }
 
 impl GuardedCall {
     /// Guards a call with this id.
-    pub(super) fn new(pending: PendingCall<Http>, id: Vec<u8>, abandoned: AbandonedCalls) -> GuardedCall {
+    pub(super) fn new(pending: PendingCall<Http>, id: IdHash, abandoned: AbandonedCalls) -> GuardedCall {
         GuardedCall { pending: Some(pending), id, abandoned }
     }
 
@@ -95,7 +102,7 @@
 impl Drop for GuardedCall {
     fn drop(&mut self) {
         if self.pending.take().is_some_and(|pending| pending.abandon().may_have_run) {
-            self.abandoned.insert(&self.id);
+            self.abandoned.insert(self.id);
         }
     }
 }
--- a/proxy/src/http/front/abandoned/tests.rs
+++ b/proxy/src/http/front/abandoned/tests.rs
@@ -6,11 +6,12 @@
 async fn an_abandoned_call_is_remembered_for_a_while_and_their_number_is_bounded() {
     let calls = AbandonedCalls::default();
     for number in 0..=MAX_CALLS {
-        calls.insert(&number.to_be_bytes());
+        calls.insert(calls.hash(&number.to_be_bytes()));
     }
-    assert!(!calls.contains(&0_usize.to_be_bytes()), "the oldest");
-    assert!(calls.contains(&1_usize.to_be_bytes()) && calls.contains(&MAX_CALLS.to_be_bytes()));
+    let contains = |number: usize| calls.contains(calls.hash(&number.to_be_bytes()));
+    assert!(!contains(0), "the oldest");
+    assert!(contains(1) && contains(MAX_CALLS));
     tokio::time::advance(MEMORY_TIME).await;
-    assert!(!calls.contains(&MAX_CALLS.to_be_bytes()));
+    assert!(!contains(MAX_CALLS));
     assert!(calls.0.borrow().ids.is_empty() && calls.0.borrow().order.is_empty());
 }
--- a/proxy/src/http/front/connection.rs
+++ b/proxy/src/http/front/connection.rs
@@ -1,6 +1,6 @@
 //! One client's connection, from its first byte to its end.
 
-use super::abandoned::{must_run_once, GuardedCall};
+use super::abandoned::{must_run_once, GuardedCall, IdHash};
 use super::activity::{Activity, Phase};
 use super::answer::{failed, plain, rejected, served, shed, Answer, HostWork};
 use super::client_stream::{ClientStream, REFUSAL, REQUEST_TIMEOUT};
@@ -226,7 +226,9 @@
         };
         self.activity.record_request();
         self.activity.enter(Phase::Responding);
-        if must_run_once(&self.driver, ask.class) && self.driver.abandoned.contains(call_id(&forward)) {
+        let guarded_id =
+            must_run_once(&self.driver, ask.class).then(|| self.driver.abandoned.hash(call_id(&forward)));
+        if guarded_id.is_some_and(|id| self.driver.abandoned.contains(id)) {
             tracing::info!("failed: a call came again whose client had left, and a host may have run it");
             return plain(StatusCode::BAD_GATEWAY);
         }
@@ -242,7 +244,7 @@
         if *self.stage.borrow() == ShutdownStage::Answered {
             return rejected(StatusCode::SERVICE_UNAVAILABLE, Duration::ZERO);
         }
-        let reply = self.reply(ask, forward, ticket).await;
+        let reply = self.reply(ask, forward, ticket, guarded_id).await;
         match (code(&reply), reply) {
             (_, Reply::Served(answer)) => served(answer),
             (code, Reply::Rejected(after)) => rejected(code, after),
@@ -251,10 +253,15 @@
     }
 
     /// Waits for a call's reply. Where its client leaves meanwhile, a call that must run once is remembered.
-    async fn reply(&self, ask: CallSpec, forward: Forward, ticket: Option<Box<dyn CallPermit>>) -> Reply {
-        let id = must_run_once(&self.driver, ask.class).then(|| call_id(&forward).to_vec());
+    async fn reply(
+        &self,
+        ask: CallSpec,
+        forward: Forward,
+        ticket: Option<Box<dyn CallPermit>>,
+        guarded_id: Option<IdHash>,
+    ) -> Reply {
         let pending = self.driver.engine.request(ask, forward, ticket);
-        match id {
+        match guarded_id {
             Some(id) => GuardedCall::new(pending, id, self.driver.abandoned.clone()).reply().await,
             None => pending.reply().await,
         }
--- a/proxy/tests/common/abuse.rs
+++ b/proxy/tests/common/abuse.rs
@@ -44,9 +44,11 @@
     DoesNotRead,
     /// Sends the largest request, whole.
     Whole,
+    /// Sends a request with an id that is nearly as long as a head may be.
+    LongId,
 }
 
-pub const ABUSES: [Abuse; 10] = [
+pub const ABUSES: [Abuse; 11] = [
     Abuse::Idle,
     Abuse::BodyInPieces,
     Abuse::LacksLastByte,
@@ -57,6 +59,7 @@
     Abuse::SendsBehind,
     Abuse::DoesNotRead,
     Abuse::Whole,
+    Abuse::LongId,
 ];
 
 /// A request that nobody else sends.
@@ -147,6 +150,11 @@
                 Ok(())
             }
             Abuse::Whole => stream.write_all(largest().as_bytes()).await,
+            Abuse::LongId => {
+                let text = fresh("unsafe", "", "x");
+                let long = format!("X-Call-Id: {}ab", "f".repeat(LARGE_FIELD_BYTES));
+                stream.write_all(text.replace("X-Call-Id: ab", &long).as_bytes()).await
+            }
         }
     }
 }
--- a/proxy/tests/memory.rs
+++ b/proxy/tests/memory.rs
@@ -58,6 +58,11 @@
     beside(Abuse::Whole);
 }
 
+#[test]
+fn calls_with_long_ids_in_flight_stay_within_memory() {
+    run(sound_clients_are_served_beside(Abuse::LongId, CLIENTS, &[Answers::Never, Answers::Soundly]));
+}
+
 #[test]
 fn heads_of_many_short_fields_stay_within_memory() {
     beside(Abuse::ShortFields);
