Front: a request that is under way keeps its place for 500 ms again

It was cut to 250 ms for 1,200 clients that all stop in a large request, when sound clients beside them had no answer in time. The bound was fitted to one case.

--- a/proxy/src/http/front/clients.rs
+++ b/proxy/src/http/front/clients.rs
@@ -19,7 +19,7 @@
 /// One that was answered so long ago has surely got its answer.
 const MIN_IDLE_AGE: Duration = Duration::from_millis(250);
 /// A request that is under way comes piece by piece, and nothing has come of this one for so long.
-const MIN_READING_AGE: Duration = Duration::from_millis(250);
+const MIN_READING_AGE: Duration = Duration::from_millis(500);
 /// Time from a connection's start for its first request, whole: a peer that sends something else, or nothing, is
 /// closed. The terms allow 3 s.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(2_500);
